--- /dev/null
+++ b/core/process/dfuring/doc.go
@@ -0,0 +1,2 @@
+// Package dfuring provides the bounded ring that joins two goroutines.
+package dfuring
--- /dev/null
+++ b/core/request/dfuoutcome/outcome.go
@@ -0,0 +1,63 @@
+package dfuoutcome
+
+// Outcome is what a caller is told about its request.
+type Outcome string
+
+const (
+	// Answered means that the target's whole answer came back.
+	Answered Outcome = "answered"
+	// NotRun means that no target ran the request and none ever will. It is
+	// only said with proof: the request never left the entry node, or the
+	// target's node refused or sealed it.
+	NotRun Outcome = "not_run"
+	// Unknown means that the request may have run.
+	Unknown Outcome = "unknown"
+)
+
+// Reason says why a request was not answered. It is sent to the caller, put in
+// logs and counted, so it is one of the constants below.
+type Reason string
+
+// Reasons of the entry node.
+const (
+	ReasonNone            Reason = ""
+	ReasonBadRequest      Reason = "bad_request"
+	ReasonUnknownService  Reason = "unknown_service"
+	ReasonNoCatalogue     Reason = "no_catalogue"
+	ReasonNoTarget        Reason = "no_target"
+	ReasonDeadline        Reason = "deadline_exceeded"
+	ReasonCanceled        Reason = "canceled"
+	ReasonSuperseded      Reason = "superseded"
+	ReasonRetryBudget     Reason = "retry_budget_spent"
+	ReasonEntryOverloaded Reason = "entry_overloaded"
+	ReasonNodeDraining    Reason = "node_draining"
+	ReasonPeerUnreachable Reason = "peer_unreachable"
+	ReasonAnswerTooLarge  Reason = "answer_too_large"
+)
+
+// Reasons of the target's node.
+const (
+	ReasonQueueFull        Reason = "queue_full"
+	ReasonDeadlineTooShort Reason = "deadline_too_short"
+	ReasonDraining         Reason = "draining"
+	ReasonNoLocalTarget    Reason = "no_local_target"
+	ReasonRateLimited      Reason = "rate_limited"
+	ReasonCrashSuspect     Reason = "crash_suspect"
+	ReasonSealed           Reason = "sealed"
+	ReasonStaleRequest     Reason = "stale_request"
+	ReasonTargetDied       Reason = "target_died"
+	ReasonTargetRefused    Reason = "target_refused"
+	ReasonClassShed        Reason = "class_shed"
+)
+
+// Reasons of the claim that guards a non-idempotent request.
+const (
+	ReasonKeyMissing    Reason = "key_missing"
+	ReasonKeyFromFuture Reason = "key_from_future"
+	ReasonKeyTooOld     Reason = "key_too_old"
+	ReasonAlreadyRun    Reason = "already_run"
+	ReasonKeyRunning    Reason = "key_running"
+	ReasonNotOwner      Reason = "not_owner"
+	ReasonNoCopy        Reason = "no_copy"
+	ReasonOwnerLost     Reason = "owner_lost"
+)
