--- /dev/null
+++ b/core/connection/dfuchoice/chooser.go
@@ -0,0 +1,207 @@
+package dfuchoice
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+)
+
+// The bounds of what a Chooser remembers.
+const (
+	MaxServices          = 512
+	MaxTargetsPerService = 512
+)
+
+// Delays are the expected one-way network delays from an entry node.
+type Delays struct {
+	SameZone   dfuclock.Duration `json:"same_zone"`
+	SameRegion dfuclock.Duration `json:"same_region"`
+	FarRegion  dfuclock.Duration `json:"far_region"`
+}
+
+// Settings are the parameters of a Chooser.
+type Settings struct {
+	Policy Policy
+	Delays Delays
+}
+
+// DefaultSettings returns the settings of a node in production.
+func DefaultSettings() Settings {
+	return Settings{
+		Policy: LateBinding{Draws: 3},
+		Delays: Delays{SameZone: 0, SameRegion: 1, FarRegion: 8},
+	}
+}
+
+// Chooser chooses targets for the requests that enter at one node. It is not
+// safe for concurrent use.
+type Chooser struct {
+	settings Settings
+	rng      *rand.Rand
+	services map[dfuident.Service]*serviceState
+	nodes    map[dfuident.NodeID]*targetState
+}
+
+// serviceState is what the Chooser knows of one service.
+type serviceState struct {
+	targets []*targetState
+	// turn is the position of RoundRobin.
+	turn int
+	// spilling says that requests cross to the far region.
+	spilling bool
+	// latencies holds recent latencies of answers, which hedging starts from.
+	latencies quantiles
+}
+
+// New returns a Chooser without targets.
+func New(settings Settings, rng *rand.Rand) *Chooser {
+	return &Chooser{
+		settings: settings,
+		rng:      rng,
+		services: map[dfuident.Service]*serviceState{},
+		nodes:    map[dfuident.NodeID]*targetState{},
+	}
+}
+
+// SetTargets replaces the targets of a service. What is known of a member that
+// stays is kept; an empty list forgets the service. Targets above
+// MaxTargetsPerService and services above MaxServices are ignored.
+func (c *Chooser) SetTargets(now dfuclock.Time, service dfuident.Service, targets []Target) {
+	state := c.services[service]
+	if state == nil {
+		if len(targets) == 0 || len(c.services) >= MaxServices {
+			return
+		}
+		state = &serviceState{}
+		c.services[service] = state
+	}
+	targets = targets[:min(len(targets), MaxTargetsPerService)]
+	for _, t := range state.targets {
+		if c.nodes[t.target.Member.Node] == t {
+			delete(c.nodes, t.target.Member.Node)
+		}
+	}
+	old := state.targets
+	state.targets = make([]*targetState, 0, len(targets))
+	for _, target := range targets {
+		t := c.adopt(now, old, target)
+		state.targets = append(state.targets, t)
+		t.service = state
+		c.nodes[target.Member.Node] = t
+	}
+	if len(targets) == 0 {
+		delete(c.services, service)
+	}
+}
+
+// Sent notes that an attempt is about to be sent to a target.
+func (c *Chooser) Sent(now dfuclock.Time, node dfuident.Member) {
+	t := c.nodes[node.Node]
+	if t == nil || t.target.Member != node {
+		return
+	}
+	t.noteSent(now)
+}
+
+// Done notes how an attempt ended. Feedback for a former incarnation of a
+// target is dropped.
+func (c *Chooser) Done(now dfuclock.Time, f Feedback) {
+	t := c.nodes[f.Node.Node]
+	if t == nil || t.target.Member != f.Node {
+		return
+	}
+	t.noteDone(now, f, c.settings.Delays)
+	if f.Kind == FeedbackAnswered {
+		t.service.latencies.add(f.Latency)
+	}
+}
+
+// Report notes a load that came by itself: a periodic report or the reply to a
+// probe.
+func (c *Chooser) Report(now dfuclock.Time, node dfuident.Member, load Load) {
+	t := c.nodes[node.Node]
+	if t == nil || t.target.Member != node {
+		return
+	}
+	t.noteLoad(now, load)
+}
+
+// Choose returns a target for a request, or false if none is left.
+func (c *Chooser) Choose(now dfuclock.Time, q Query) (Choice, bool) {
+	state := c.services[q.Service]
+	if state == nil {
+		return Choice{}, false
+	}
+	candidates := make([]*targetState, 0, len(state.targets))
+	for _, t := range state.targets {
+		if !t.target.Draining && !slices.Contains(q.Excluded, t.target.Member.Node) {
+			candidates = append(candidates, t)
+		}
+	}
+	if len(candidates) == 0 {
+		return Choice{}, false
+	}
+	switch policy := c.settings.Policy.(type) {
+	case Random:
+		return plainChoice(q, candidates[c.rng.IntN(len(candidates))]), true
+	case RoundRobin:
+		state.turn++
+		return plainChoice(q, candidates[state.turn%len(candidates)]), true
+	case LeastReported:
+		return plainChoice(q, c.leastReported(candidates)), true
+	case TwoChoicesOnReports:
+		return plainChoice(q, c.leastReported(c.draw(candidates, 2))), true
+	case TwoChoices:
+		return c.byResponse(now, q, state, candidates, 2), true
+	case LateBinding:
+		return c.byResponse(now, q, state, candidates, policy.Draws), true
+	}
+	return Choice{}, false
+}
+
+// adopt returns the state of a target, taken over from the old ones if the
+// same incarnation is among them.
+func (c *Chooser) adopt(now dfuclock.Time, old []*targetState, target Target) *targetState {
+	for _, t := range old {
+		if t.target.Member == target.Member {
+			t.target = target
+			return t
+		}
+	}
+	return newTargetState(now, target)
+}
+
+// draw returns up to n different candidates in random order. It reorders the
+// candidates.
+func (c *Chooser) draw(candidates []*targetState, n int) []*targetState {
+	n = min(n, len(candidates))
+	for i := range n {
+		j := i + c.rng.IntN(len(candidates)-i)
+		candidates[i], candidates[j] = candidates[j], candidates[i]
+	}
+	return candidates[:n]
+}
+
+// leastReported returns the candidate with the least reported load; ties are
+// broken at random.
+func (c *Chooser) leastReported(candidates []*targetState) *targetState {
+	c.draw(candidates, len(candidates))
+	return slices.MinFunc(candidates, func(a, b *targetState) int {
+		return a.reported() - b.reported()
+	})
+}
+
+// plainChoice returns the choice of a target with the reason that its place
+// gives.
+func plainChoice(q Query, t *targetState) Choice {
+	reason := ReasonFarRegion
+	switch {
+	case t.target.Place == q.From:
+		reason = ReasonLocalZone
+	case t.target.Place.Region == q.From.Region:
+		reason = ReasonLocalRegion
+	}
+	return Choice{Member: t.target.Member, Reason: reason}
+}
--- /dev/null
+++ b/core/connection/dfuchoice/policy.go
@@ -0,0 +1,41 @@
+package dfuchoice
+
+// Policy is one way to choose among targets. The versions stand side by side
+// so that one run can measure them against each other.
+//
+//sumtype:decl
+type Policy interface {
+	isPolicy()
+}
+
+// Random picks any target with equal chance.
+type Random struct{}
+
+// RoundRobin takes the targets in turn.
+type RoundRobin struct{}
+
+// LeastReported picks the target with the least load in its last report.
+type LeastReported struct{}
+
+// TwoChoicesOnReports draws two targets and picks the one with less load in
+// its last report.
+type TwoChoicesOnReports struct{}
+
+// TwoChoices draws two targets of the region and picks the one with less
+// expected response time, by own in-flight counts and the freshest load.
+type TwoChoices struct{}
+
+// LateBinding picks by expected response time among several drawn targets,
+// corrects the expectation by observed latencies, and relies on the targets'
+// nodes to refuse what they can't run in time.
+type LateBinding struct {
+	// Draws is the number of targets compared in each region.
+	Draws int
+}
+
+func (Random) isPolicy()              {}
+func (RoundRobin) isPolicy()          {}
+func (LeastReported) isPolicy()       {}
+func (TwoChoicesOnReports) isPolicy() {}
+func (TwoChoices) isPolicy()          {}
+func (LateBinding) isPolicy()         {}
--- /dev/null
+++ b/core/connection/dfuchoice/target.go
@@ -0,0 +1,179 @@
+package dfuchoice
+
+import (
+	"math"
+
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+)
+
+// Parameters of the expected response time.
+const (
+	// defaultServiceTime stands in until a target's first load or answer.
+	defaultServiceTime = 20 * dfuclock.Millisecond
+	// signalLifetime is the age at which a load says nothing more.
+	signalLifetime = 400 * dfuclock.Millisecond
+	// slowStart is how long a cold target's share of requests grows.
+	slowStart = 10 * dfuclock.Second
+	// slowStartFloor is the share of its slots that a cold target starts at.
+	slowStartFloor = 0.1
+	// smoothing is the weight of a new observation in a moving average.
+	smoothing = 0.1
+	// maxCorrection bounds how far observed latencies raise an expectation.
+	maxCorrection = 20.0
+	// defaultSlots stands in for a target that doesn't tell its slots.
+	defaultSlots = 8
+)
+
+// targetState is what the Chooser knows of one incarnation of a target.
+type targetState struct {
+	target  Target
+	service *serviceState
+	// own counts the attempts in flight from this node.
+	own int
+	// signal is the freshest load that the target's node told.
+	signal signal
+	// expected and observed are moving averages in milliseconds of the
+	// response times at Sent and at Done; their ratio corrects a target whose
+	// loads promise more than it keeps.
+	expected, observed float64
+	health             health
+}
+
+// signal is a Load with its age and without this node's own part.
+type signal struct {
+	known bool
+	at    dfuclock.Time
+	load  Load
+	// others is the load that other entry nodes put on the target.
+	others float64
+}
+
+// newTargetState returns the state of a target that nothing is known of.
+func newTargetState(_ dfuclock.Time, target Target) *targetState {
+	return &targetState{target: target}
+}
+
+// noteSent counts an attempt and remembers what was expected of it.
+func (t *targetState) noteSent(now dfuclock.Time) {
+	t.expected = average(t.expected, t.response(now))
+	t.own++
+	t.health.noteSent()
+}
+
+// noteDone uncounts an attempt and learns from its end.
+func (t *targetState) noteDone(now dfuclock.Time, f Feedback, delays Delays) {
+	t.own = max(0, t.own-1)
+	if f.Load != nil {
+		t.noteLoad(now, *f.Load)
+	}
+	if f.Kind == FeedbackAnswered {
+		network := min(f.Latency, 2*delays.SameRegion)
+		t.observed = average(t.observed, float64(f.Latency-network))
+	}
+	t.health.noteDone(now, f.Kind)
+}
+
+// noteLoad takes a load unless a newer one is known.
+func (t *targetState) noteLoad(now dfuclock.Time, load Load) {
+	if t.signal.known && int32(load.Sequence-t.signal.load.Sequence) < 0 {
+		return
+	}
+	total := float64(load.InFlight) + float64(load.Queued)
+	t.signal = signal{known: true, at: now, load: load, others: max(0, total-float64(t.own))}
+}
+
+// reported returns the load of the last report.
+func (t *targetState) reported() int {
+	return int(t.signal.load.InFlight) + int(t.signal.load.Queued)
+}
+
+// response returns the expected time in milliseconds that the target takes for
+// one more request: the wait for a slot and the service time.
+func (t *targetState) response(now dfuclock.Time) float64 {
+	slots := t.slots(now)
+	service := t.serviceTime()
+	outstanding := float64(t.own) + t.others(now)
+	wait := max(0, outstanding+1-slots) * service / slots
+	return wait + service
+}
+
+// corrected returns the response time raised by what was observed.
+func (t *targetState) corrected(now dfuclock.Time) float64 {
+	response := t.response(now)
+	if t.expected == 0 || t.observed == 0 {
+		return response
+	}
+	return response * min(max(t.observed/t.expected, 1), maxCorrection)
+}
+
+// slots returns the slots of the target, fewer during its slow start.
+func (t *targetState) slots(now dfuclock.Time) float64 {
+	slots := float64(defaultSlots)
+	if t.target.Slots > 0 {
+		slots = float64(t.target.Slots)
+	}
+	return max(1, slots*t.warmth(now))
+}
+
+// warmth returns the share of a target's slots that its slow start has
+// reached, one for a warm target.
+func (t *targetState) warmth(now dfuclock.Time) float64 {
+	if t.target.ColdSince == 0 {
+		return 1
+	}
+	age := float64(now.Sub(t.target.ColdSince)) / float64(slowStart)
+	return min(max(age, slowStartFloor), 1)
+}
+
+// serviceTime returns the time in milliseconds that a request holds a slot.
+func (t *targetState) serviceTime() float64 {
+	if t.signal.known && t.signal.load.ServiceTime > 0 {
+		return float64(t.signal.load.ServiceTime)
+	}
+	return float64(defaultServiceTime)
+}
+
+// others returns the load by other entry nodes. As the signal ages, it moves
+// to the mean over the service's targets.
+func (t *targetState) others(now dfuclock.Time) float64 {
+	mean := t.service.meanOthers()
+	if !t.signal.known {
+		return mean
+	}
+	age := float64(now.Sub(t.signal.at)) / float64(signalLifetime)
+	weight := min(max(1-age, 0), 1)
+	return weight*t.signal.others + (1-weight)*mean
+}
+
+// meanOthers returns the mean of the last known loads by other entry nodes.
+func (s *serviceState) meanOthers() float64 {
+	sum, n := 0.0, 0
+	for _, t := range s.targets {
+		if t.signal.known {
+			sum += t.signal.others
+			n++
+		}
+	}
+	return sum / math.Max(1, float64(n))
+}
+
+// networkTime returns the round trip in milliseconds from a place.
+func (t *targetState) networkTime(from dfuident.Place, delays Delays) float64 {
+	switch {
+	case t.target.Place == from:
+		return 2 * float64(delays.SameZone)
+	case t.target.Place.Region == from.Region:
+		return 2 * float64(delays.SameRegion)
+	default:
+		return 2 * float64(delays.FarRegion)
+	}
+}
+
+// average returns a moving average with a new observation.
+func average(old, observation float64) float64 {
+	if old == 0 {
+		return observation
+	}
+	return old + smoothing*(observation-old)
+}
