core/request/dfugate: add the gate and the crash tracker

Cause: the daemon needs the machine that alone admits work to its target. Not run yet: no test stands behind this commit.

--- /dev/null
+++ b/core/request/dfucrash/tracker.go
@@ -0,0 +1,192 @@
+package dfucrash
+
+import (
+	"cmp"
+	"slices"
+
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+)
+
+// Fingerprint identifies requests that look alike to a target. Zero means that
+// a request has none; such a request is never suspected.
+type Fingerprint uint64
+
+// Crash names one crash of one target, so that two reports of the same crash
+// count once.
+type Crash struct {
+	Node   dfuident.Member `json:"node"`
+	Number uint64          `json:"number"`
+}
+
+// Config holds the bounds of a Tracker.
+type Config struct {
+	// SuspectFor is how long a fingerprint stays a suspect after a crash.
+	SuspectFor dfuclock.Duration
+	// BanFor is how long a banned fingerprint is refused.
+	BanFor dfuclock.Duration
+	// EntriesMax bounds the suspects and the bans that are remembered, each.
+	EntriesMax int
+	// Window is the number of latest offers over which shares are counted.
+	Window int
+	// ShareMax is the count within Window above which a fingerprint is taken
+	// for the service's ordinary traffic and never banned.
+	ShareMax int
+}
+
+// DefaultConfig returns the bounds used by a node.
+func DefaultConfig() Config {
+	return Config{
+		SuspectFor: 5 * dfuclock.Minute,
+		BanFor:     5 * dfuclock.Minute,
+		EntriesMax: 1024,
+		Window:     256,
+		ShareMax:   32,
+	}
+}
+
+// Tracker remembers suspects and bans within fixed bounds.
+type Tracker struct {
+	cfg      Config
+	suspects map[Fingerprint]suspect
+	bans     map[Fingerprint]dfuclock.Time
+	window   []Fingerprint
+	oldest   int
+	counts   map[Fingerprint]int
+}
+
+type suspect struct {
+	crash Crash
+	until dfuclock.Time
+}
+
+// New returns a Tracker that suspects nothing.
+func New(cfg Config) *Tracker {
+	return &Tracker{
+		cfg:      cfg,
+		suspects: make(map[Fingerprint]suspect),
+		bans:     make(map[Fingerprint]dfuclock.Time),
+		counts:   make(map[Fingerprint]int),
+	}
+}
+
+// Offered counts an offer towards the share of its fingerprint and reports
+// whether the fingerprint is banned. Offers of a banned fingerprint aren't
+// counted, so that a caller can't lift a ban by repeating itself.
+func (t *Tracker) Offered(now dfuclock.Time, f Fingerprint) bool {
+	if f == 0 {
+		return false
+	}
+	if t.Banned(now, f) {
+		return true
+	}
+	if len(t.window) < t.cfg.Window {
+		t.window = append(t.window, f)
+	} else {
+		t.uncount(t.window[t.oldest])
+		t.window[t.oldest] = f
+		t.oldest = (t.oldest + 1) % len(t.window)
+	}
+	t.counts[f]++
+	return false
+}
+
+func (t *Tracker) uncount(f Fingerprint) {
+	t.counts[f]--
+	if t.counts[f] == 0 {
+		delete(t.counts, f)
+	}
+}
+
+// Banned reports whether requests with the fingerprint are refused now.
+func (t *Tracker) Banned(now dfuclock.Time, f Fingerprint) bool {
+	until, ok := t.bans[f]
+	if ok && !now.Before(until) {
+		delete(t.bans, f)
+		return false
+	}
+	return ok
+}
+
+// Suspected reports whether the fingerprint was running at a crash and hasn't
+// completed since.
+func (t *Tracker) Suspected(now dfuclock.Time, f Fingerprint) bool {
+	s, ok := t.suspects[f]
+	if ok && !now.Before(s.until) {
+		delete(t.suspects, f)
+		return false
+	}
+	return ok
+}
+
+// Crashed records what was running at a crash. It returns the fingerprints
+// that were present at an earlier crash as well, which are now banned, and
+// those that are new suspects. Both are sorted.
+func (t *Tracker) Crashed(now dfuclock.Time, crash Crash, running []Fingerprint) (banned, suspects []Fingerprint) {
+	running = slices.Clone(running)
+	slices.Sort(running)
+	for _, f := range slices.Compact(running) {
+		switch {
+		case f == 0 || t.Banned(now, f) || t.common(f):
+		case t.Suspected(now, f) && t.suspects[f].crash != crash:
+			delete(t.suspects, f)
+			t.Ban(now, f, t.cfg.BanFor)
+			banned = append(banned, f)
+		default:
+			t.suspect(now, f, crash)
+			suspects = append(suspects, f)
+		}
+	}
+	return banned, suspects
+}
+
+// common reports whether the fingerprint has so large a share of the offers
+// that banning it would amount to banning the service.
+func (t *Tracker) common(f Fingerprint) bool {
+	return t.counts[f] > t.cfg.ShareMax
+}
+
+// Ban refuses a fingerprint for a while, on this node's own evidence or on a
+// peer's, and reports whether it does: ordinary traffic isn't banned.
+func (t *Tracker) Ban(now dfuclock.Time, f Fingerprint, d dfuclock.Duration) bool {
+	if f == 0 || t.common(f) {
+		return false
+	}
+	until := now.Add(min(d, t.cfg.BanFor))
+	if t.bans[f] < until {
+		t.bans[f] = until
+	}
+	if len(t.bans) > t.cfg.EntriesMax {
+		delete(t.bans, earliest(t.bans, func(at dfuclock.Time) dfuclock.Time { return at }))
+	}
+	return true
+}
+
+func (t *Tracker) suspect(now dfuclock.Time, f Fingerprint, crash Crash) {
+	t.suspects[f] = suspect{crash: crash, until: now.Add(t.cfg.SuspectFor)}
+	if len(t.suspects) > t.cfg.EntriesMax {
+		delete(t.suspects, earliest(t.suspects, func(s suspect) dfuclock.Time { return s.until }))
+	}
+}
+
+// Completed clears a suspect whose request was answered, and reports whether
+// the fingerprint was one.
+func (t *Tracker) Completed(f Fingerprint) bool {
+	_, ok := t.suspects[f]
+	delete(t.suspects, f)
+	return ok
+}
+
+// earliest returns the key whose time is the lowest, and of these the lowest
+// key, so that eviction doesn't depend on the order of iteration.
+func earliest[V any](m map[Fingerprint]V, at func(V) dfuclock.Time) Fingerprint {
+	var lowest Fingerprint
+	var lowestAt dfuclock.Time
+	found := false
+	for f, v := range m {
+		if !found || cmp.Or(cmp.Compare(at(v), lowestAt), cmp.Compare(f, lowest)) < 0 {
+			lowest, lowestAt, found = f, at(v), true
+		}
+	}
+	return lowest
+}
--- /dev/null
+++ b/core/request/dfugate/event.go
@@ -0,0 +1,148 @@
+package dfugate
+
+import (
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/request/dfucrash"
+	"dragonflyusher/core/request/dfuoutcome"
+)
+
+// Class ranks requests. Zero is the most important; a class beyond the last
+// counts as the last.
+type Class uint8
+
+// ClassCount is the number of classes.
+const ClassCount = 3
+
+// Limits bound what the gate admits. Zero means no limit of that kind, except
+// for Queue, where it means that nothing waits.
+type Limits struct {
+	Concurrency   int `json:"concurrency"`
+	Queue         int `json:"queue"`
+	RatePerSecond int `json:"rate_per_second"`
+}
+
+// Event is what happens to a gate.
+//
+//sumtype:decl
+type Event interface{ event() }
+
+// Offer is a request that an entry node asks the gate to run.
+type Offer struct {
+	ID          dfuident.RequestID
+	Service     dfuident.Service
+	Caller      dfuident.Caller
+	Class       Class
+	Key         dfuident.Key
+	Fingerprint dfucrash.Fingerprint
+	// Remaining is the time left until the request's deadline.
+	Remaining  dfuclock.Duration
+	Idempotent bool
+	// Settled is the sequence below which the entry node needs no answer.
+	Settled uint64
+}
+
+// Cancel withdraws a request that nobody waits for any more.
+type Cancel struct {
+	ID     dfuident.RequestID
+	Reason dfuoutcome.Reason
+}
+
+// Seal asks what became of a request, and forbids it to start from now on.
+type Seal struct {
+	ID dfuident.RequestID
+}
+
+// TargetDone reports that the target's whole answer is here.
+type TargetDone struct {
+	ID dfuident.RequestID
+	// Failed tells that the answer is an error, which says nothing about how
+	// long a request takes.
+	Failed bool
+}
+
+// TargetFailed reports that no answer will come.
+type TargetFailed struct {
+	ID dfuident.RequestID
+	// Died tells that the target's process is gone.
+	Died bool
+	// Refused tells that the target did not run the request: it could not be
+	// reached or it shed the request.
+	Refused bool
+}
+
+// TargetAnnounced reports that the local target takes requests.
+type TargetAnnounced struct {
+	Service dfuident.Service
+	Slots   int
+	// Cold tells that the target has just started and is to be loaded slowly.
+	Cold bool
+}
+
+// TargetWithdrawn reports that the local target takes no more requests. What
+// is running goes on.
+type TargetWithdrawn struct{}
+
+// TargetCrashed reports that the target's process is gone with all its work.
+type TargetCrashed struct{}
+
+// ClaimGranted reports that a non-idempotent request may run.
+type ClaimGranted struct {
+	ID dfuident.RequestID
+}
+
+// ClaimDenied reports that a non-idempotent request may not run here.
+type ClaimDenied struct {
+	ID      dfuident.RequestID
+	Outcome dfuoutcome.Outcome
+	Reason  dfuoutcome.Reason
+}
+
+// LimitsChanged puts new limits in force.
+type LimitsChanged struct {
+	Limits Limits
+}
+
+// DrainRequested closes the gate; what is running goes on.
+type DrainRequested struct{}
+
+// DrainCanceled opens the gate again.
+type DrainCanceled struct{}
+
+// FingerprintBanned is a peer's ban.
+type FingerprintBanned struct {
+	Fingerprint dfucrash.Fingerprint
+	For         dfuclock.Duration
+}
+
+// FingerprintCleared is a peer's report that a suspect completed.
+type FingerprintCleared struct {
+	Fingerprint dfucrash.Fingerprint
+}
+
+// PeerCrashed is a peer's report of what was running when its target crashed.
+type PeerCrashed struct {
+	Crash        dfucrash.Crash
+	Fingerprints []dfucrash.Fingerprint
+}
+
+// Tick reports that time has passed.
+type Tick struct{}
+
+func (Offer) event()              {}
+func (Cancel) event()             {}
+func (Seal) event()               {}
+func (TargetDone) event()         {}
+func (TargetFailed) event()       {}
+func (TargetAnnounced) event()    {}
+func (TargetWithdrawn) event()    {}
+func (TargetCrashed) event()      {}
+func (ClaimGranted) event()       {}
+func (ClaimDenied) event()        {}
+func (LimitsChanged) event()      {}
+func (DrainRequested) event()     {}
+func (DrainCanceled) event()      {}
+func (FingerprintBanned) event()  {}
+func (FingerprintCleared) event() {}
+func (PeerCrashed) event()        {}
+func (Tick) event()               {}
--- a/core/request/dfuoutcome/outcome.go
+++ b/core/request/dfuoutcome/outcome.go
@@ -46,6 +46,7 @@
 	ReasonSealed           Reason = "sealed"
 	ReasonStaleRequest     Reason = "stale_request"
 	ReasonTargetDied       Reason = "target_died"
+	ReasonTargetLinkLost   Reason = "target_link_lost"
 	ReasonTargetRefused    Reason = "target_refused"
 	ReasonClassShed        Reason = "class_shed"
 )
