core/version/dfucatalogue: add entries, the store's client and its stand-in

Nodes and operators need one form of a catalogue entry and one client of the platform's key-value service.

- core/process/dfudecode reads JSON strictly and reports every unknown field, repeated field and wrong type with its line and column. encoding/json was ruled out for this: it stops at the first unknown field and has no places.
- core/version/dfucatalogue: entry, defaults, checks, diff, stored form.
A stored entry remembers its last changes with the revision each was made from, so Judge tells accepted, rejected, pending and unknown apart after a lost reply.
A delete writes a tombstone value rather than removing the key.
- io/process/dfustore: client that never retries and tells a write that certainly had no effect from one that may have had.
- standin/dfustorestandin: the store in memory, with faults by switch.

Proof: golden sessions and a property test of Judge.

--- /dev/null
+++ b/core/process/dfudecode/tree.go
@@ -0,0 +1,162 @@
+package dfudecode
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxDepth is the deepest nesting of objects and arrays that is read.
+const maxDepth = 32
+
+// value is one JSON value with the offset at which it starts.
+type value struct {
+	offset int
+	// scalar is a string, bool, json.Number or nil. It is unused for an
+	// object or an array.
+	scalar json.Token
+	kind   kind
+	fields []field
+	items  []value
+}
+
+// field is one member of an object.
+type field struct {
+	name   string
+	offset int
+	value  value
+}
+
+type kind int
+
+const (
+	kindScalar kind = iota
+	kindObject
+	kindArray
+)
+
+// describe names the kind of JSON value for a finding.
+func (v *value) describe() string {
+	switch v.kind {
+	case kindObject:
+		return "an object"
+	case kindArray:
+		return "an array"
+	case kindScalar:
+	}
+	switch s := v.scalar.(type) {
+	case string:
+		return fmt.Sprintf("the string %q", s)
+	case json.Number:
+		return "the number " + s.String()
+	case bool:
+		return fmt.Sprintf("%t", s)
+	default:
+		return "null"
+	}
+}
+
+// parser builds the tree of values from a text.
+type parser struct {
+	data    []byte
+	decoder *json.Decoder
+}
+
+func newParser(data []byte) *parser {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.UseNumber()
+	return &parser{data: data, decoder: decoder}
+}
+
+// parse returns the single value of the text. On an error it also returns the
+// offset at which the text goes wrong.
+func (p *parser) parse() (value, int, error) {
+	root, err := p.value(0)
+	if err != nil {
+		return value{}, p.errorOffset(err), err
+	}
+	if rest := p.next(); rest < len(p.data) {
+		return value{}, rest, errors.New("unexpected text after the value")
+	}
+	return root, 0, nil
+}
+
+// errorOffset returns where the error was met.
+func (p *parser) errorOffset(err error) int {
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) && syntax.Offset > 0 {
+		return min(int(syntax.Offset)-1, len(p.data))
+	}
+	return p.next()
+}
+
+// next returns the offset of the next token.
+func (p *parser) next() int {
+	offset := int(p.decoder.InputOffset())
+	for offset < len(p.data) && strings.IndexByte(" \t\r\n,:", p.data[offset]) >= 0 {
+		offset++
+	}
+	return offset
+}
+
+func (p *parser) value(depth int) (value, error) {
+	v := value{offset: p.next()}
+	if depth > maxDepth {
+		return v, errors.Newf("nested deeper than %d", maxDepth)
+	}
+	token, err := p.token()
+	if err != nil {
+		return v, err
+	}
+	switch token {
+	case json.Delim('{'):
+		v.kind = kindObject
+		return v, p.object(&v, depth)
+	case json.Delim('['):
+		v.kind = kindArray
+		return v, p.array(&v, depth)
+	}
+	v.scalar = token
+	return v, nil
+}
+
+func (p *parser) token() (json.Token, error) {
+	token, err := p.decoder.Token()
+	if errors.Is(err, io.EOF) {
+		return nil, errors.New("unexpected end of text")
+	}
+	return token, err
+}
+
+func (p *parser) object(v *value, depth int) error {
+	for p.decoder.More() {
+		f := field{offset: p.next()}
+		token, err := p.token()
+		if err != nil {
+			return err
+		}
+		f.name, _ = token.(string)
+		if f.value, err = p.value(depth + 1); err != nil {
+			return err
+		}
+		v.fields = append(v.fields, f)
+	}
+	_, err := p.token()
+	return err
+}
+
+func (p *parser) array(v *value, depth int) error {
+	for p.decoder.More() {
+		item, err := p.value(depth + 1)
+		if err != nil {
+			return err
+		}
+		v.items = append(v.items, item)
+	}
+	_, err := p.token()
+	return err
+}
--- /dev/null
+++ b/io/process/dfustore/session_test.go
@@ -0,0 +1,179 @@
+package dfustore_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/io/process/dfustore"
+	"dragonflyusher/standin/dfustorestandin"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/rogpeppe/go-internal/txtar"
+	"go.uber.org/goleak"
+)
+
+var update = flag.Bool("update", false, "rewrite the transcripts in testdata")
+
+func TestMain(m *testing.M) {
+	// The sweepers of fasthttp outlive their client and server for a while.
+	goleak.VerifyTestMain(m, goleak.IgnoreTopFunction("time.Sleep"))
+}
+
+// TestSessions runs each script in testdata against a stand-in and compares
+// the transcript.
+func TestSessions(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	is.New(t).NoErr(err)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txtar"), func(t *testing.T) {
+			is := is.New(t)
+			archive, err := txtar.ParseFile(file)
+			is.NoErr(err)
+			got := play(t, string(archive.Files[0].Data))
+			if *update {
+				archive.Files = append(archive.Files[:1], txtar.File{Name: "transcript", Data: got})
+				is.NoErr(os.WriteFile(file, txtar.Format(archive), 0o644))
+				return
+			}
+			is.Equal(string(got), string(archive.Files[1].Data))
+		})
+	}
+}
+
+// session is one script's client and what it printed.
+type session struct {
+	server *dfustorestandin.Server
+	client *dfustore.Client
+	out    bytes.Buffer
+}
+
+func play(t *testing.T, script string) []byte {
+	is := is.New(t)
+	server, err := dfustorestandin.New("127.0.0.1:0", dfustorestandin.Switches{})
+	is.NoErr(err)
+	s := &session{server: server, client: dfustore.New(dfustore.Config{Address: server.Address()})}
+	defer func() {
+		s.client.Close()
+		is.NoErr(server.Close())
+	}()
+	for line := range strings.Lines(script) {
+		fmt.Fprintf(&s.out, "> %s", line)
+		words := strings.Fields(line)
+		s.run(words[0], append(words[1:], "", "", ""))
+	}
+	return s.out.Bytes()
+}
+
+func (s *session) run(command string, args []string) {
+	ctx := context.Background()
+	switch command {
+	case "get":
+		record, err := s.client.Get(ctx, args[0])
+		s.print(err, record)
+	case "list":
+		records, revision, err := s.client.List(ctx, args[0])
+		s.print(err, records, revision)
+	case "cas":
+		revision, err := s.client.CompareAndSwap(ctx, args[0], dfuident.Revision(number(args[1])), []byte(args[2]), dfustore.LeaseID(number(args[3])))
+		s.print(err, revision)
+	case "cas-bytes":
+		_, err := s.client.CompareAndSwap(ctx, args[0], 0, make([]byte, number(args[1])), 0)
+		s.print(err)
+	case "delete":
+		revision, err := s.client.Delete(ctx, args[0], dfuident.Revision(number(args[1])))
+		s.print(err, revision)
+	case "watch":
+		records, revision, err := s.client.Watch(ctx, args[0], dfuident.Revision(number(args[1])), dfuclock.Duration(number(args[2])))
+		s.print(err, records, revision)
+	case "watch-then-cas":
+		s.watchThenSwap(ctx, args)
+	case "grant":
+		lease, err := s.client.GrantLease(ctx, dfuclock.Duration(number(args[0])))
+		s.print(err, lease)
+	case "keepalive":
+		s.print(s.client.KeepAlive(ctx, dfustore.LeaseID(number(args[0]))))
+	case "revoke":
+		s.print(s.client.Revoke(ctx, dfustore.LeaseID(number(args[0]))))
+	case "switch":
+		var switches dfustorestandin.Switches
+		s.print(json.Unmarshal([]byte(args[0]), &switches))
+		s.server.Switch(switches)
+	case "timeout":
+		s.client.Close()
+		s.client = dfustore.New(dfustore.Config{Address: s.server.Address(), Timeout: dfuclock.Duration(number(args[0]))})
+	case "address":
+		s.client.Close()
+		s.client = dfustore.New(dfustore.Config{Address: dfuident.Address(args[0])})
+	case "counts":
+		s.print(nil, s.server.Counts())
+	default:
+		s.print(errors.Newf("no command %q", command))
+	}
+}
+
+// watchThenSwap starts a watch, writes while it waits and prints what the
+// watch saw.
+func (s *session) watchThenSwap(ctx context.Context, args []string) {
+	type result struct {
+		records []dfustore.Record
+		err     error
+	}
+	seen := make(chan result, 1)
+	before := s.server.Counts().Watch
+	go func() {
+		records, _, err := s.client.Watch(ctx, args[0], dfuident.Revision(number(args[1])), 10*dfuclock.Second)
+		seen <- result{records, err}
+	}()
+	for s.server.Counts().Watch == before {
+	}
+	s.run("cas", append(args[2:], "", "", ""))
+	r := <-seen
+	s.print(r.err, r.records)
+}
+
+// print writes results as JSON, or the class of the error and the record that
+// a conflict carries.
+func (s *session) print(err error, results ...any) {
+	var conflict *dfustore.ConflictError
+	if errors.As(err, &conflict) {
+		results = []any{conflict.Current}
+	}
+	if err != nil {
+		fmt.Fprintln(&s.out, "error: "+class(err))
+		if conflict == nil {
+			return
+		}
+	}
+	for _, result := range results {
+		text, _ := json.Marshal(result)
+		fmt.Fprintln(&s.out, string(text))
+	}
+}
+
+func class(err error) string {
+	for _, known := range []error{
+		dfustore.ErrConflict, dfustore.ErrUnavailable, dfustore.ErrUncertain,
+		dfustore.ErrTooLarge, dfustore.ErrCompacted, dfustore.ErrNoLease,
+	} {
+		if errors.Is(err, known) {
+			return known.Error()
+		}
+	}
+	return err.Error()
+}
+
+func number(text string) uint64 {
+	n, _ := strconv.ParseUint(text, 10, 64)
+	return n
+}
