--- a/core/request/dfugate/event.go
+++ b/core/request/dfugate/event.go
@@ -51,6 +51,9 @@
 // Seal asks what became of a request, and forbids it to start from now on.
 type Seal struct {
 	ID dfuident.RequestID
+	// To is the run of the node that the request was offered to. A later run
+	// has forgotten what ran, so it swears nothing.
+	To dfuident.Member
 }
 
 // TargetDone reports that the target's whole answer is here.
--- a/core/request/dfugate/machine.go
+++ b/core/request/dfugate/machine.go
@@ -149,7 +149,7 @@
 	case Cancel:
 		m.cancel(now, e)
 	case Seal:
-		m.seal(now, e.ID)
+		m.seal(now, e)
 	case TargetDone:
 		m.targetDone(now, e)
 	case TargetFailed:
@@ -443,7 +443,12 @@
 	m.emit(CancelOnTarget{ID: r.id})
 }
 
-func (m *Machine) seal(now dfuclock.Time, id dfuident.RequestID) {
+func (m *Machine) seal(now dfuclock.Time, e Seal) {
+	id := e.ID
+	if e.To != m.self {
+		m.answerSeal(id, verdict{outcome: dfuoutcome.Unknown, reason: dfuoutcome.ReasonStaleRequest})
+		return
+	}
 	r := m.live[id]
 	if r == nil {
 		m.answerSeal(id, m.forbid(now, id, dfuoutcome.ReasonSealed))
