--- a/core/request/dfuattempt/machine.go
+++ b/core/request/dfuattempt/machine.go
@@ -339,7 +339,7 @@
 		}
 		m.proven(now, a, SendRefused, e.Reason)
 	default:
-		m.report(now, a, dfuchoice.Feedback{Kind: dfuchoice.FeedbackTargetError, Load: e.Load})
+		m.report(now, a, dfuchoice.Feedback{Kind: unknownKind(e.Reason), Load: e.Load})
 		if e.RetriedBelow {
 			a.request.allowance = 0
 		}
@@ -347,6 +347,18 @@
 	}
 }
 
+// unknownKind returns what an unknown outcome tells about the target.
+func unknownKind(reason dfuoutcome.Reason) dfuchoice.FeedbackKind {
+	switch reason {
+	case dfuoutcome.ReasonTargetDied, dfuoutcome.ReasonTargetLinkLost:
+		return dfuchoice.FeedbackTargetError
+	case dfuoutcome.ReasonDeadline, dfuoutcome.ReasonCanceled, dfuoutcome.ReasonSuperseded:
+		return dfuchoice.FeedbackCanceled
+	default:
+		return dfuchoice.FeedbackRefused
+	}
+}
+
 // final reports whether another target would refuse for the same reason.
 func final(reason dfuoutcome.Reason) bool {
 	switch reason {
@@ -364,7 +376,9 @@
 func (m *Machine) proven(now dfuclock.Time, a *attempt, retry SendReason, reason dfuoutcome.Reason) {
 	r := a.request
 	m.drop(a)
-	r.reason = reason
+	if !r.unproven {
+		r.reason = reason
+	}
 	if r.mayRepeat() && m.send(now, r, retry) {
 		return
 	}
--- a/core/request/dfugate/event.go
+++ b/core/request/dfugate/event.go
@@ -29,7 +29,10 @@
 
 // Offer is a request that an entry node asks the gate to run.
 type Offer struct {
-	ID          dfuident.RequestID
+	ID dfuident.RequestID
+	// To is the run of this node that the offer was sent to; zero means any.
+	// What was sent to a former run may have run there.
+	To          dfuident.Member
 	Service     dfuident.Service
 	Caller      dfuident.Caller
 	Class       Class
--- a/core/request/dfugate/machine.go
+++ b/core/request/dfugate/machine.go
@@ -61,6 +61,8 @@
 
 	live     map[dfuident.RequestID]*record
 	claiming int
+	// unwanted holds ids that were refused while their claim was asked for.
+	unwanted map[dfuident.RequestID]struct{}
 	queue    *queue
 	running  []*record
 	timers   timers
@@ -126,13 +128,14 @@
 // New returns a gate without a target.
 func New(cfg Config, self dfuident.Member) *Machine {
 	m := &Machine{
-		cfg:    cfg,
-		self:   self,
-		limits: cfg.Limits,
-		crash:  dfucrash.New(cfg.Crash),
-		live:   make(map[dfuident.RequestID]*record),
-		queue:  newQueue(),
-		ledger: newLedger(cfg.VerdictsMax, cfg.EntriesMax),
+		cfg:      cfg,
+		self:     self,
+		limits:   cfg.Limits,
+		crash:    dfucrash.New(cfg.Crash),
+		live:     make(map[dfuident.RequestID]*record),
+		unwanted: make(map[dfuident.RequestID]struct{}),
+		queue:    newQueue(),
+		ledger:   newLedger(cfg.VerdictsMax, cfg.EntriesMax),
 	}
 	m.rate.change(0, cfg.Limits.RatePerSecond)
 	return m
@@ -243,7 +246,8 @@
 	if e != nil {
 		e.settle(o.Settled)
 	}
-	if e == nil || o.ID.Sequence < e.floor {
+	strayed := !o.To.IsZero() && o.To != m.self
+	if strayed || e == nil || o.ID.Sequence < e.floor {
 		m.emit(Refuse{ID: o.ID, Outcome: dfuoutcome.Unknown, Reason: dfuoutcome.ReasonStaleRequest})
 		return
 	}
@@ -471,17 +475,13 @@
 }
 
 func (m *Machine) claimGranted(id dfuident.RequestID) {
-	r := m.live[id]
-	if r == nil {
-		// Only the claim of an id that provably did not run is given back.
-		if v, ok := m.ledger.verdicts[id]; ok && v.outcome == dfuoutcome.NotRun {
-			m.emit(ReleaseClaim{ID: id})
-			return
-		}
-		m.log(LogStrayClaim, id)
+	if _, ok := m.unwanted[id]; ok {
+		delete(m.unwanted, id)
+		m.emit(ReleaseClaim{ID: id})
 		return
 	}
-	if r.state != stateClaiming {
+	r := m.live[id]
+	if r == nil || r.state != stateClaiming {
 		m.log(LogStrayClaim, id)
 		return
 	}
@@ -493,10 +493,20 @@
 func (m *Machine) claimDenied(e ClaimDenied) {
 	r := m.live[e.ID]
 	if r == nil || r.state != stateClaiming {
+		delete(m.unwanted, e.ID)
 		m.log(LogStrayClaim, e.ID)
 		return
 	}
 	m.refuse(r, e.Outcome, e.Reason)
+	delete(m.unwanted, e.ID)
+}
+
+// disown makes sure that the claim of a request that is refused while it waits
+// for the claim is given back, should it be granted.
+func (m *Machine) disown(id dfuident.RequestID) {
+	if len(m.unwanted) < m.cfg.VerdictsMax {
+		m.unwanted[id] = struct{}{}
+	}
 }
 
 func (m *Machine) expire(now dfuclock.Time) {
@@ -517,6 +527,7 @@
 	switch r.state {
 	case stateClaiming:
 		m.claiming--
+		m.disown(r.id)
 	case stateQueued:
 		m.queue.remove(r)
 	case stateRunning:
