--- /dev/null
+++ b/io/process/dfucontrol/duty.go
@@ -0,0 +1,165 @@
+package dfucontrol
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/process/dfumembership"
+	"dragonflyusher/core/process/dfuring"
+	"dragonflyusher/core/version/dfucatalogue"
+	"dragonflyusher/core/version/dfurecord"
+	"dragonflyusher/core/version/dfuroster"
+	"dragonflyusher/io/process/dfustore"
+
+	"go.uber.org/zap"
+)
+
+// Duty is the control duty of one node.
+type Duty struct {
+	cfg  Config
+	deps Deps
+
+	inbox  *dfuring.Ring[input]
+	outbox *dfuring.Ring[outgoing]
+	// announced wakes the owner when announcement was replaced.
+	announced    chan struct{}
+	announcement atomic.Pointer[Announcement]
+
+	member      atomic.Pointer[dfuident.Member]
+	view        atomic.Pointer[dfuroster.View]
+	status      atomic.Pointer[Status]
+	storeError  atomic.Pointer[string]
+	bridge      atomic.Bool
+	superseded  atomic.Bool
+	failedCalls atomic.Uint64
+
+	randMu sync.Mutex
+	rand   *rand.Rand
+}
+
+// input is what the owner of the machines is told.
+//
+//sumtype:decl
+type input interface{ input() }
+
+// packetInput is a packet from a peer. Its direct answer goes to answer, which
+// is nil if the packet itself is an answer.
+type packetInput struct {
+	packet Packet
+	answer chan Packet
+}
+
+// recordsInput is what the store returned for a prefix.
+type recordsInput struct {
+	prefix   string
+	listed   bool
+	records  []dfurecord.Record
+	revision dfuident.Revision
+}
+
+// seedsInput tells whom the zone pages list.
+type seedsInput struct{ contacts []dfumembership.Contact }
+
+func (packetInput) input()  {}
+func (recordsInput) input() {}
+func (seedsInput) input()   {}
+
+// New returns a duty that knows nothing yet.
+func New(cfg Config, deps Deps) *Duty {
+	d := &Duty{
+		cfg:       cfg,
+		deps:      deps,
+		inbox:     dfuring.New[input](cfg.RingSize),
+		outbox:    dfuring.New[outgoing](cfg.RingSize),
+		announced: make(chan struct{}, 1),
+		rand:      deps.Rand,
+	}
+	d.view.Store(dfuroster.New())
+	d.status.Store(&Status{})
+	return d
+}
+
+// Receiver returns what is to be registered under ReceiverName.
+func (d *Duty) Receiver() *Receiver {
+	return &Receiver{duty: d}
+}
+
+// Announce replaces what the node says of its own target. It never blocks.
+func (d *Duty) Announce(a Announcement) {
+	d.announcement.Store(&a)
+	select {
+	case d.announced <- struct{}{}:
+	default:
+	}
+}
+
+// View returns the newest view.
+func (d *Duty) View() *dfuroster.View {
+	return d.view.Load()
+}
+
+// Member returns the node with its incarnation, or the zero member until the
+// store has been reached once.
+func (d *Duty) Member() dfuident.Member {
+	if m := d.member.Load(); m != nil {
+		return *m
+	}
+	return dfuident.Member{}
+}
+
+// Run joins and then works until ctx ends.
+func (d *Duty) Run(ctx context.Context) error {
+	incarnation, contacts, err := d.join(ctx)
+	if err != nil {
+		return err
+	}
+	member := dfuident.Member{Node: d.cfg.Node, Incarnation: incarnation}
+	o := newOwner(d, member)
+	d.member.Store(&member)
+	d.deps.Log.Info("joined", zap.Stringer("member", member), zap.Int("listed", len(contacts)))
+
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = d.keepPage(ctx, len(contacts)) })
+	wg.Go(func() { _ = d.watch(ctx, dfustore.CataloguePrefix) })
+	wg.Go(func() { _ = d.watch(ctx, dfustore.ClaimsPrefix) })
+	for range d.cfg.Senders {
+		wg.Go(func() { _ = d.send(ctx) })
+	}
+	o.seed(contacts)
+	err = o.run(ctx)
+	cancel()
+	wg.Wait()
+	return err
+}
+
+// checkValue keeps an invalid catalogue entry from coming into force.
+func checkValue(key string, value []byte) error {
+	if _, ok := serviceOf(key, dfustore.CataloguePrefix); !ok {
+		return nil
+	}
+	_, err := dfucatalogue.DecodeStored(value)
+	return err
+}
+
+func (d *Duty) jitter(bound dfuclock.Duration) dfuclock.Duration {
+	d.randMu.Lock()
+	defer d.randMu.Unlock()
+	return dfuclock.Duration(d.rand.Int64N(int64(bound) + 1))
+}
+
+func sleep(ctx context.Context, wait dfuclock.Duration) error {
+	timer := time.NewTimer(wait.Std())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/io/process/dfucontrol/duty_test.go
@@ -0,0 +1,244 @@
+package dfucontrol_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/process/dfumembership"
+	"dragonflyusher/core/version/dfucatalogue"
+	"dragonflyusher/core/version/dfuroster"
+	"dragonflyusher/io/process/dfucontrol"
+	"dragonflyusher/io/process/dfustore"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+)
+
+// fakeStore keeps records in memory. It can be switched off.
+type fakeStore struct {
+	mu       sync.Mutex
+	down     bool
+	revision dfuident.Revision
+	records  map[string]dfustore.Record
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{records: make(map[string]dfustore.Record)}
+}
+
+func (s *fakeStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *fakeStore) put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.records[key] = dfustore.Record{Key: key, Value: value, Revision: s.revision}
+}
+
+func (s *fakeStore) Get(_ context.Context, key string) (dfustore.Record, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return dfustore.Record{}, dfustore.ErrUnavailable
+	}
+	return s.records[key], nil
+}
+
+func (s *fakeStore) List(_ context.Context, prefix string) ([]dfustore.Record, dfuident.Revision, error) {
+	return s.since(prefix, 0)
+}
+
+func (s *fakeStore) since(prefix string, after dfuident.Revision) ([]dfustore.Record, dfuident.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, dfustore.ErrUnavailable
+	}
+	var records []dfustore.Record
+	for key, r := range s.records {
+		if len(key) >= len(prefix) && key[:len(prefix)] == prefix && r.Revision > after {
+			records = append(records, r)
+		}
+	}
+	return records, s.revision, nil
+}
+
+func (s *fakeStore) Watch(ctx context.Context, prefix string, after dfuident.Revision, wait dfuclock.Duration) ([]dfustore.Record, dfuident.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait.Std())
+	defer cancel()
+	for {
+		records, revision, err := s.since(prefix, after)
+		if len(records) > 0 || err != nil || ctx.Err() != nil {
+			return records, revision, err
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+func (s *fakeStore) CompareAndSwap(_ context.Context, key string, expect dfuident.Revision, value []byte, _ dfustore.LeaseID) (dfuident.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return 0, dfustore.ErrUnavailable
+	}
+	if current := s.records[key]; current.Revision != expect {
+		return 0, &dfustore.ConflictError{Current: current}
+	}
+	s.revision++
+	s.records[key] = dfustore.Record{Key: key, Value: value, Revision: s.revision}
+	return s.revision, nil
+}
+
+// network joins duties without sockets.
+type network struct {
+	mu    sync.Mutex
+	nodes map[dfuident.Address]*dfucontrol.Duty
+}
+
+func (n *network) Call(_ context.Context, to dfuident.Address, _ string, args, reply any) error {
+	n.mu.Lock()
+	d := n.nodes[to]
+	n.mu.Unlock()
+	if d == nil {
+		return errors.New("connection refused")
+	}
+	return d.Receiver().Deliver(args.(*dfucontrol.Packet), reply.(*dfucontrol.Packet))
+}
+
+// fleet runs duties against one store.
+type fleet struct {
+	t     *testing.T
+	store *fakeStore
+	net   *network
+}
+
+func newFleet(t *testing.T) *fleet {
+	return &fleet{t: t, store: newFakeStore(), net: &network{nodes: make(map[dfuident.Address]*dfucontrol.Duty)}}
+}
+
+// start runs a duty and returns it with the function that ends it.
+func (f *fleet) start(i int) (*dfucontrol.Duty, func()) {
+	cfg := dfucontrol.DefaultConfig()
+	cfg.Node = dfuident.NodeID(fmt.Sprintf("vm-%d", i))
+	cfg.Place = dfuident.Place{Region: "sued", Zone: dfuident.Zone(fmt.Sprintf("sued-%c", 'a'+i%2))}
+	cfg.Peer = dfuident.Address(fmt.Sprintf("127.0.0.1:%d", 7000+i))
+	d := dfucontrol.New(cfg, dfucontrol.Deps{
+		Store: f.store, Caller: f.net, Clock: dfuclock.New(), Wall: time.Now,
+		Rand: rand.New(rand.NewPCG(1, uint64(i))), Log: zap.NewNop(),
+	})
+	d.Announce(dfucontrol.Announcement{Target: dfumembership.Target{Service: "lager", Slots: 12}})
+	f.net.mu.Lock()
+	f.net.nodes[cfg.Peer] = d
+	f.net.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = d.Run(ctx)
+	}()
+	end := sync.OnceFunc(func() {
+		f.net.mu.Lock()
+		delete(f.net.nodes, cfg.Peer)
+		f.net.mu.Unlock()
+		cancel()
+		<-done
+	})
+	f.t.Cleanup(end)
+	return d, end
+}
+
+// wait returns once a condition holds. Only a hung test meets its limit.
+func (f *fleet) wait(what string, holds func() bool) {
+	f.t.Helper()
+	for limit := time.Now().Add(time.Minute); !holds(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(limit) {
+			f.t.Fatal("never: " + what)
+		}
+	}
+}
+
+func entryValue(t *testing.T, change string) []byte {
+	t.Helper()
+	e := dfucatalogue.Defaults()
+	e.Service, e.Owner = "lager", "stock"
+	value, err := dfucatalogue.EncodeStored(dfucatalogue.Stored{ChangeID: dfuident.ChangeID(change), Entry: e})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return value
+}
+
+func allAlive(duties []*dfucontrol.Duty, n int) func() bool {
+	return func() bool {
+		for _, d := range duties {
+			alive := 0
+			for _, node := range d.View().Service("lager") {
+				if node.State == dfuroster.Alive {
+					alive++
+				}
+			}
+			if alive != n {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func TestNodesMeetAndSeeTheCatalogue(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.store.setDown(true)
+	var duties []*dfucontrol.Duty
+	for i := range 5 {
+		d, _ := f.start(i)
+		duties = append(duties, d)
+	}
+	f.wait("status says that the store is down", func() bool { return duties[0].Status().StoreError != "" })
+	is.True(duties[0].Member().IsZero()) // no incarnation without the store
+	f.store.setDown(false)
+	f.wait("every node sees five targets", allAlive(duties, 5))
+
+	f.store.put("catalogue/lager", entryValue(t, "one"))
+	f.wait("the entry is in force", func() bool {
+		for _, d := range duties {
+			if _, revision, ok := d.View().Entry("lager"); !ok || revision == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	f.store.put("catalogue/lager", []byte(`{"change_id":"two","entry":{"class":"gold"}}`))
+	f.wait("the invalid entry is reported", func() bool { return len(duties[0].Status().Invalid) == 1 })
+	_, _, ok := duties[0].View().Entry("lager")
+	is.True(ok) // the last valid entry stays in force
+}
+
+func TestRestartedNodeHasGreaterIncarnation(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	first, end := f.start(0)
+	second, _ := f.start(1)
+	f.wait("both see each other", allAlive([]*dfucontrol.Duty{first, second}, 2))
+	before := first.Member()
+	end()
+	again, _ := f.start(0)
+	f.wait("both see each other again", allAlive([]*dfucontrol.Duty{again, second}, 2))
+	is.True(again.Member().Incarnation > before.Incarnation)
+	n, _ := second.View().Node("vm-0")
+	is.Equal(n.Member, again.Member())
+}
--- /dev/null
+++ b/io/process/dfucontrol/page.go
@@ -0,0 +1,220 @@
+package dfucontrol
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/process/dfumembership"
+	"dragonflyusher/core/version/dfuroster"
+	"dragonflyusher/io/process/dfustore"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+const (
+	// pageSpread is the time by which each node on the page spreads the
+	// writes of a zone whose nodes start together.
+	pageSpread = 10 * dfuclock.Millisecond
+	// maxPageSpread bounds that time.
+	maxPageSpread = 2 * dfuclock.Second
+)
+
+// pageNode is one node of a zone's page.
+type pageNode struct {
+	Node        dfuident.NodeID      `json:"node"`
+	Incarnation dfuident.Incarnation `json:"incarnation"`
+	Peer        dfuident.Address     `json:"peer"`
+	HTTP        dfuident.Address     `json:"http"`
+	Place       dfuident.Place       `json:"place"`
+}
+
+// join reads the zone pages until it succeeds. It returns the members listed
+// and an incarnation above the one that the node's page last held.
+func (d *Duty) join(ctx context.Context) (dfuident.Incarnation, []dfumembership.Contact, error) {
+	wait := d.newBackoff()
+	for {
+		nodes, err := d.readPages(ctx)
+		if err == nil {
+			return d.nextIncarnation(nodes), d.contacts(nodes), nil
+		}
+		d.storeFailed("read zone pages", err)
+		if err := wait.sleep(ctx); err != nil {
+			return 0, nil, err
+		}
+	}
+}
+
+func (d *Duty) nextIncarnation(nodes []pageNode) dfuident.Incarnation {
+	incarnation := dfuident.Incarnation(d.deps.Wall().UnixMilli())
+	for _, n := range nodes {
+		if n.Node == d.cfg.Node {
+			incarnation = max(incarnation, n.Incarnation+1)
+		}
+	}
+	return incarnation
+}
+
+func (d *Duty) contacts(nodes []pageNode) []dfumembership.Contact {
+	var contacts []dfumembership.Contact
+	for _, n := range nodes {
+		contacts = append(contacts, dfumembership.Contact{
+			Member:  dfuident.Member{Node: n.Node, Incarnation: n.Incarnation},
+			Region:  n.Place.Region,
+			Address: n.Peer,
+		})
+	}
+	return contacts
+}
+
+// readPages returns the nodes of all pages. A page that can't be decoded is
+// reported and left out.
+func (d *Duty) readPages(ctx context.Context) ([]pageNode, error) {
+	records, _, err := d.deps.Store.List(ctx, dfustore.ZonePrefix)
+	if err != nil {
+		return nil, err
+	}
+	d.storeAnswered()
+	var nodes []pageNode
+	for _, r := range records {
+		if !r.Exists() {
+			continue
+		}
+		page, err := decodePage(r)
+		if err != nil {
+			d.deps.Log.Warn("zone page is not valid", zap.String("key", r.Key), zap.Error(err))
+		}
+		nodes = append(nodes, page...)
+	}
+	return nodes, nil
+}
+
+func decodePage(r dfustore.Record) ([]pageNode, error) {
+	if !r.Exists() {
+		return nil, nil
+	}
+	var page []pageNode
+	if err := json.Unmarshal(r.Value, &page); err != nil {
+		return nil, errors.Wrap(err, "decode zone page")
+	}
+	return page, nil
+}
+
+// keepPage puts the node on its zone's page. From then on, while the node is
+// its zone's bridge, it adds the members that are missing there, removes those
+// that are gone, and tells the membership whom the pages list.
+func (d *Duty) keepPage(ctx context.Context, listed int) error {
+	spread := min(pageSpread*dfuclock.Duration(listed), maxPageSpread)
+	if err := sleep(ctx, d.jitter(spread)); err != nil {
+		return err
+	}
+	if err := d.untilWritten(ctx); err != nil {
+		return err
+	}
+	d.deps.Log.Info("on the zone page", zap.Stringer("member", d.Member()))
+	for {
+		if err := sleep(ctx, d.cfg.PagePeriod/2+d.jitter(d.cfg.PagePeriod)); err != nil {
+			return err
+		}
+		if !d.bridge.Load() {
+			continue
+		}
+		nodes, err := d.readPages(ctx)
+		if err != nil {
+			d.storeFailed("read zone pages", err)
+			continue
+		}
+		d.inbox.Offer(seedsInput{contacts: d.contacts(nodes)})
+		if _, err := d.writePage(ctx); err != nil {
+			d.storeFailed("write zone page", err)
+		}
+	}
+}
+
+func (d *Duty) untilWritten(ctx context.Context) error {
+	wait := d.newBackoff()
+	for {
+		done, err := d.writePage(ctx)
+		if done {
+			return nil
+		}
+		if err != nil && !errors.Is(err, dfustore.ErrConflict) {
+			d.storeFailed("write zone page", err)
+		}
+		if err := wait.sleep(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// writePage makes the page list every live member of the zone, so that one
+// write serves all that wait for theirs. It reports whether the page does. A
+// write with a lost reply is settled by reading the page again.
+func (d *Duty) writePage(ctx context.Context) (bool, error) {
+	key := dfustore.ZoneKey(d.cfg.Place)
+	record, err := d.deps.Store.Get(ctx, key)
+	if err != nil {
+		return false, err
+	}
+	d.storeAnswered()
+	page, err := decodePage(record)
+	if err != nil {
+		d.deps.Log.Warn("zone page is replaced", zap.String("key", key), zap.Error(err))
+	}
+	next := mergePage(page, d.View(), d.cfg.Place)
+	if slices.Equal(page, next) {
+		return true, nil
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return false, errors.Wrap(err, "encode zone page")
+	}
+	expect := record.Revision
+	if !record.Exists() {
+		expect = 0
+	}
+	_, err = d.deps.Store.CompareAndSwap(ctx, key, expect, value, 0)
+	return err == nil, err
+}
+
+// mergePage returns the page with the view's live members of the zone at their
+// greatest incarnation, and without the members that the view knows are gone.
+func mergePage(page []pageNode, view *dfuroster.View, place dfuident.Place) []pageNode {
+	byNode := make(map[dfuident.NodeID]pageNode, len(page))
+	for _, n := range page {
+		byNode[n.Node] = n
+	}
+	for _, n := range view.Nodes() {
+		old, listed := byNode[n.Member.Node]
+		if n.Place != place || (listed && old.Incarnation > n.Member.Incarnation) {
+			continue
+		}
+		if n.State == dfuroster.Dead || n.State == dfuroster.Left {
+			delete(byNode, n.Member.Node)
+			continue
+		}
+		byNode[n.Member.Node] = pageNode{
+			Node: n.Member.Node, Incarnation: n.Member.Incarnation,
+			Peer: n.Peer, HTTP: n.HTTP, Place: n.Place,
+		}
+	}
+	next := make([]pageNode, 0, len(byNode))
+	for _, n := range byNode {
+		next = append(next, n)
+	}
+	slices.SortFunc(next, func(a, b pageNode) int {
+		return cmp.Compare(a.Node, b.Node)
+	})
+	return next
+}
+
+// serviceOf returns the service that a key under a prefix is of.
+func serviceOf(key, prefix string) (dfuident.Service, bool) {
+	s, ok := strings.CutPrefix(key, prefix)
+	return dfuident.Service(s), ok && s != ""
+}
--- /dev/null
+++ b/io/process/dfucontrol/status.go
@@ -0,0 +1,60 @@
+package dfucontrol
+
+import (
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/process/dfumembership"
+	"dragonflyusher/core/version/dfurecord"
+	"dragonflyusher/core/version/dfuroster"
+	"dragonflyusher/io/process/dfustore"
+)
+
+// Status is what operators are shown of the control duty.
+type Status struct {
+	Member dfuident.Member `json:"member"`
+	// HasCatalogue reports whether the whole catalogue has been seen once.
+	HasCatalogue bool `json:"has_catalogue"`
+	// CatalogueRevision is the greatest revision met of any entry.
+	CatalogueRevision dfuident.Revision `json:"catalogue_revision"`
+	ViewVersion       uint64            `json:"view_version"`
+	// Invalid lists the entries whose newest value is not in force.
+	Invalid []dfurecord.Invalid `json:"invalid,omitempty"`
+	// StoreError is the last failure of the store, empty once it answers.
+	StoreError string `json:"store_error,omitempty"`
+	// Superseded reports that a later run of this node lives.
+	Superseded    bool                    `json:"superseded,omitempty"`
+	States        map[dfuroster.State]int `json:"states"`
+	Membership    dfumembership.Counts    `json:"membership"`
+	InboxRefused  uint64                  `json:"inbox_refused"`
+	OutboxRefused uint64                  `json:"outbox_refused"`
+	FailedCalls   uint64                  `json:"failed_calls"`
+}
+
+// Status returns the state as of the owner's last step.
+func (d *Duty) Status() Status {
+	s := *d.status.Load()
+	if message := d.storeError.Load(); message != nil {
+		s.StoreError = *message
+	}
+	s.Superseded = d.superseded.Load()
+	s.InboxRefused = d.inbox.Refused()
+	s.OutboxRefused = d.outbox.Refused()
+	s.FailedCalls = d.failedCalls.Load()
+	s.States = make(map[dfuroster.State]int)
+	for _, n := range d.View().Nodes() {
+		s.States[n.State]++
+	}
+	return s
+}
+
+// status returns the part of the status that only the owner knows. It is made
+// anew only when the view or the records have changed.
+func (o *owner) status() *Status {
+	return &Status{
+		Member:            o.membership.Self().Member,
+		HasCatalogue:      o.listed[dfustore.CataloguePrefix],
+		CatalogueRevision: o.records.Greatest(dfustore.CataloguePrefix),
+		ViewVersion:       o.view.Version(),
+		Invalid:           o.records.Invalid(),
+		Membership:        o.membership.Counts(),
+	}
+}
