--- a/core/request/dfuoutcome/outcome.go
+++ b/core/request/dfuoutcome/outcome.go
@@ -33,6 +33,7 @@
 	ReasonNodeDraining    Reason = "node_draining"
 	ReasonPeerUnreachable Reason = "peer_unreachable"
 	ReasonAnswerTooLarge  Reason = "answer_too_large"
+	ReasonBodyTooLarge    Reason = "body_too_large"
 )
 
 // Reasons of the target's node.
--- /dev/null
+++ b/io/connection/dfupeer/server.go
@@ -0,0 +1,87 @@
+package dfupeer
+
+import (
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Server accepts calls from other nodes.
+type Server struct {
+	listener net.Listener
+	rpc      *rpc.Server
+	mu       sync.Mutex
+	conns    map[net.Conn]struct{}
+	closed   bool
+	wg       sync.WaitGroup
+}
+
+// Liveness answers pings.
+type Liveness struct{}
+
+// Ping returns at once; a connection whose ping is not answered is silent.
+func (Liveness) Ping(_ struct{}, _ *struct{}) error {
+	return nil
+}
+
+// NewServer returns a server on listener. Receivers are registered before Run.
+func NewServer(listener net.Listener) (*Server, error) {
+	s := &Server{listener: listener, rpc: rpc.NewServer(), conns: map[net.Conn]struct{}{}}
+	if err := s.Register("Liveness", Liveness{}); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Register publishes receiver's methods under name, in net/rpc's form.
+func (s *Server) Register(name string, receiver any) error {
+	return errors.Wrapf(s.rpc.RegisterName(name, receiver), "register %s", name)
+}
+
+// Run accepts connections until Close.
+func (s *Server) Run() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		if !s.track(conn) {
+			conn.Close()
+			return
+		}
+		s.wg.Go(func() {
+			defer s.untrack(conn)
+			s.rpc.ServeConn(conn)
+		})
+	}
+}
+
+// Close stops accepting, closes every connection and waits for their calls.
+func (s *Server) Close() {
+	s.listener.Close()
+	s.mu.Lock()
+	s.closed = true
+	for conn := range s.conns {
+		conn.Close()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
+func (s *Server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) untrack(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
--- /dev/null
+++ b/io/connection/dfutarget/client.go
@@ -0,0 +1,230 @@
+package dfutarget
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/io/request/dfumessage"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// The headers that a target receives with a request.
+const (
+	HeaderDeadline    = "Dragonflyusher-Deadline-Ms"
+	HeaderRequestID   = "Dragonflyusher-Request-Id"
+	HeaderAllowance   = "Dragonflyusher-Retry-Allowance"
+	HeaderKey         = "Idempotency-Key"
+	HeaderTraceparent = "Traceparent"
+	// HeaderNotRun in a target's answer with status 503 states that the target
+	// did not run the request.
+	HeaderNotRun = "Dragonflyusher-Not-Run"
+)
+
+// dialTimeout bounds the opening of a connection to the local target.
+const dialTimeout = 250 * time.Millisecond
+
+var (
+	// ErrNotSent means that the target certainly did not get the request.
+	ErrNotSent = errors.New("request did not reach the target")
+	// ErrInterrupted means that the target may have run the request, but no
+	// whole answer came back.
+	ErrInterrupted = errors.New("target gave no whole answer")
+)
+
+// Client sends requests to one target.
+type Client struct {
+	address     dfuident.Address
+	answerLimit dfuident.Bytes
+	mu          sync.Mutex
+	idle        []*conn
+	idleLimit   int
+}
+
+// conn is one connection to the target.
+type conn struct {
+	net.Conn
+	r *bufio.Reader
+	w *bufio.Writer
+}
+
+// New returns a client of the target at address. Answers above answerLimit are
+// refused; up to idleLimit connections are kept open.
+func New(address dfuident.Address, answerLimit dfuident.Bytes, idleLimit int) *Client {
+	return &Client{address: address, answerLimit: answerLimit, idleLimit: idleLimit}
+}
+
+// Run sends the request and returns the target's whole answer. The end of ctx
+// closes the connection. The error is marked ErrNotSent or ErrInterrupted.
+func (c *Client) Run(ctx context.Context, offer *dfumessage.Offer, remaining dfuclock.Duration) (dfumessage.Answer, error) {
+	cn, err := c.acquire(ctx, offer.Idempotent)
+	if err != nil {
+		return dfumessage.Answer{}, errors.Mark(err, ErrNotSent)
+	}
+	stop := context.AfterFunc(ctx, func() { cn.Close() })
+	answer, reusable, err := c.exchange(cn, offer, remaining)
+	if !stop() || err != nil || !reusable {
+		cn.Close()
+	} else {
+		c.release(cn)
+	}
+	return answer, err
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, cn := range c.idle {
+		cn.Close()
+	}
+	c.idle = nil
+	c.idleLimit = 0
+}
+
+// acquire returns a connection. A request that must not repeat gets a new one,
+// because an idle one may end just as the request is written, which would leave
+// open whether the target ran it.
+func (c *Client) acquire(ctx context.Context, idempotent bool) (*conn, error) {
+	for idempotent {
+		cn := c.pop()
+		if cn == nil {
+			break
+		}
+		if cn.alive() {
+			return cn, nil
+		}
+		cn.Close()
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", string(c.address))
+	if err != nil {
+		return nil, errors.Wrapf(err, "dial target %s", c.address)
+	}
+	return &conn{Conn: raw, r: bufio.NewReader(raw), w: bufio.NewWriter(raw)}, nil
+}
+
+func (c *Client) pop() *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last := len(c.idle) - 1
+	if last < 0 {
+		return nil
+	}
+	cn := c.idle[last]
+	c.idle = c.idle[:last]
+	return cn
+}
+
+func (c *Client) release(cn *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.idle) >= c.idleLimit {
+		cn.Close()
+		return
+	}
+	c.idle = append(c.idle, cn)
+}
+
+// alive reports whether an idle connection is open and has nothing to read. A
+// read deadline can't tell, because Go checks it before it asks the kernel.
+func (cn *conn) alive() bool {
+	raw, ok := cn.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	empty := false
+	err = control.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		empty = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && empty
+}
+
+// exchange writes the request and reads the answer. It reports whether the
+// connection may carry another request.
+func (c *Client) exchange(cn *conn, offer *dfumessage.Offer, remaining dfuclock.Duration) (dfumessage.Answer, bool, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	fillRequest(req, offer, remaining, string(c.address))
+	if err := req.Write(cn.w); err != nil {
+		return dfumessage.Answer{}, false, interrupted(err)
+	}
+	if err := cn.w.Flush(); err != nil {
+		return dfumessage.Answer{}, false, interrupted(err)
+	}
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	resp.SkipBody = offer.Method == fasthttp.MethodHead
+	if err := resp.ReadLimitBody(cn.r, int(c.answerLimit)); err != nil {
+		return dfumessage.Answer{}, false, interrupted(err)
+	}
+	if resp.Header.ContentLength() == lengthUntilClose && !resp.SkipBody {
+		return dfumessage.Answer{}, false, interrupted(errors.New("answer has neither a length nor chunks"))
+	}
+	return copyAnswer(resp), !resp.ConnectionClose(), nil
+}
+
+// lengthUntilClose is fasthttp's content length of an answer that ends with its
+// connection, whose truncation can't be told from its end.
+const lengthUntilClose = -2
+
+func interrupted(err error) error {
+	return errors.Mark(errors.Wrap(err, "exchange with target"), ErrInterrupted)
+}
+
+func fillRequest(req *fasthttp.Request, offer *dfumessage.Offer, remaining dfuclock.Duration, host string) {
+	req.Header.SetMethod(offer.Method)
+	req.SetRequestURI(offer.URI)
+	req.Header.SetHost(host)
+	for _, h := range offer.Headers {
+		req.Header.Add(h.Name, h.Value)
+	}
+	req.Header.Set(HeaderDeadline, strconv.FormatInt(int64(remaining), 10))
+	req.Header.Set(HeaderRequestID, offer.ID.String())
+	req.Header.Set(HeaderAllowance, strconv.Itoa(offer.Allowance))
+	if offer.Key != "" {
+		req.Header.Set(HeaderKey, string(offer.Key))
+	}
+	if offer.Traceparent != "" {
+		req.Header.Set(HeaderTraceparent, offer.Traceparent)
+	}
+	req.SetBodyRaw(offer.Body)
+}
+
+// copyAnswer copies what outlives the pooled response.
+func copyAnswer(resp *fasthttp.Response) dfumessage.Answer {
+	answer := dfumessage.Answer{Status: resp.StatusCode(), Body: append([]byte(nil), resp.Body()...)}
+	for name, value := range resp.Header.All() {
+		if isForwarded(string(name)) {
+			answer.Headers = append(answer.Headers, dfumessage.Header{Name: string(name), Value: string(value)})
+		}
+	}
+	return answer
+}
+
+// isForwarded reports whether a header concerns the message rather than one
+// connection.
+func isForwarded(name string) bool {
+	switch name {
+	case fasthttp.HeaderConnection, fasthttp.HeaderContentLength, fasthttp.HeaderTransferEncoding,
+		fasthttp.HeaderKeepAlive, fasthttp.HeaderDate, fasthttp.HeaderServer:
+		return false
+	default:
+		return true
+	}
+}
--- /dev/null
+++ b/io/process/dfunode/admin.go
@@ -0,0 +1,171 @@
+package dfunode
+
+import (
+	"encoding/json"
+	"strings"
+
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/request/dfuoutcome"
+	"dragonflyusher/core/version/dfuroster"
+	"dragonflyusher/io/process/dfucontrol"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Status is what GET /dragonflyusher/status answers.
+type Status struct {
+	Node        dfuident.NodeID             `json:"node"`
+	Incarnation dfuident.Incarnation        `json:"incarnation"`
+	Region      dfuident.Region             `json:"region"`
+	Zone        dfuident.Zone               `json:"zone"`
+	Service     dfuident.Service            `json:"service"`
+	State       string                      `json:"state"`
+	Draining    bool                        `json:"draining"`
+	Slots       int                         `json:"slots"`
+	InFlight    int                         `json:"in_flight"`
+	Queued      int                         `json:"queued"`
+	ServiceTime dfuclock.Duration           `json:"service_time_ms"`
+	View        ViewStatus                  `json:"view"`
+	Peers       []PeerStatus                `json:"peers"`
+	Refused     map[dfuoutcome.Reason]int64 `json:"refused"`
+	Control     dfucontrol.Status           `json:"control"`
+}
+
+// ViewStatus says how current the node's view is.
+type ViewStatus struct {
+	Revision dfuident.Revision                      `json:"revision"`
+	Entries  map[dfuident.Service]dfuident.Revision `json:"entries"`
+}
+
+// PeerStatus is another node that is not simply alive.
+type PeerStatus struct {
+	Node   dfuident.NodeID `json:"node"`
+	State  dfuroster.State `json:"state"`
+	Reason string          `json:"reason,omitempty"`
+}
+
+// NodeStatus is one line of GET /dragonflyusher/nodes.
+type NodeStatus struct {
+	Node        dfuident.NodeID      `json:"node"`
+	Incarnation dfuident.Incarnation `json:"incarnation"`
+	Region      dfuident.Region      `json:"region"`
+	Zone        dfuident.Zone        `json:"zone"`
+	HTTP        dfuident.Address     `json:"http"`
+	Service     dfuident.Service     `json:"service"`
+	State       dfuroster.State      `json:"state"`
+}
+
+// admin answers the paths below /dragonflyusher/.
+func (n *Node) admin(ctx *fasthttp.RequestCtx) {
+	switch path := strings.TrimPrefix(string(ctx.Path()), "/dragonflyusher/"); path {
+	case "target":
+		n.adminTarget(ctx)
+	case "status":
+		writeJSON(ctx, n.status())
+	case "nodes":
+		writeJSON(ctx, n.nodes())
+	case "metrics":
+		writeJSON(ctx, n.metrics)
+	case "trace":
+		writeJSON(ctx, n.tracer.Recent(string(ctx.QueryArgs().Peek("id"))))
+	case "log-level":
+		n.adminLevel(ctx)
+	default:
+		writeError(ctx, fasthttp.StatusNotFound, errors.Newf("no such page: %s", path))
+	}
+}
+
+// adminTarget takes an announcement of the local target.
+func (n *Node) adminTarget(ctx *fasthttp.RequestCtx) {
+	s := n.started.Load()
+	if s == nil {
+		writeError(ctx, fasthttp.StatusServiceUnavailable, errors.New("the node has not joined yet"))
+		return
+	}
+	if !ctx.IsPost() {
+		writeError(ctx, fasthttp.StatusMethodNotAllowed, errors.New("POST an announcement"))
+		return
+	}
+	s.target.handle(ctx)
+}
+
+// adminLevel shows the log level, or sets it on PUT.
+func (n *Node) adminLevel(ctx *fasthttp.RequestCtx) {
+	if ctx.IsPut() {
+		if err := json.Unmarshal(ctx.PostBody(), &n.level); err != nil {
+			writeError(ctx, fasthttp.StatusBadRequest, errors.Wrap(err, "want a JSON string such as \"debug\""))
+			return
+		}
+		n.log.Info("log level changed")
+	}
+	writeJSON(ctx, n.level)
+}
+
+func (n *Node) status() Status {
+	view := n.control.View()
+	control := n.control.Status()
+	status := Status{
+		Node:    n.settings.Node,
+		Region:  n.settings.Region,
+		Zone:    n.settings.Zone,
+		State:   "joining",
+		View:    ViewStatus{Revision: control.CatalogueRevision, Entries: map[dfuident.Service]dfuident.Revision{}},
+		Peers:   []PeerStatus{},
+		Control: control,
+	}
+	for _, service := range view.Services() {
+		_, revision, _ := view.Entry(service)
+		status.View.Entries[service] = revision
+	}
+	for _, peer := range view.Nodes() {
+		if peer.State != dfuroster.Alive {
+			status.Peers = append(status.Peers, PeerStatus{Node: peer.Member.Node, State: peer.State})
+		}
+	}
+	if s := n.started.Load(); s != nil {
+		s.fill(&status)
+	}
+	return status
+}
+
+// fill adds what only a node that has joined knows.
+func (s *started) fill(status *Status) {
+	gate := s.gate.Status()
+	status.Incarnation = s.self.Incarnation
+	status.State = "serving"
+	status.Draining = gate.Draining
+	if gate.Draining {
+		status.State = "draining"
+	}
+	if gate.Drained {
+		status.State = "drained"
+	}
+	status.Slots = int(gate.Load.Slots)
+	status.InFlight = int(gate.Load.InFlight)
+	status.Queued = int(gate.Load.Queued)
+	status.ServiceTime = gate.Load.ServiceTime
+	status.Refused = gate.Refused
+	s.target.mu.Lock()
+	defer s.target.mu.Unlock()
+	if s.target.present {
+		status.Service = s.target.current.Service
+	}
+}
+
+func (n *Node) nodes() []NodeStatus {
+	nodes := []NodeStatus{}
+	for _, v := range n.control.View().Nodes() {
+		nodes = append(nodes, NodeStatus{
+			Node:        v.Member.Node,
+			Incarnation: v.Member.Incarnation,
+			Region:      v.Place.Region,
+			Zone:        v.Place.Zone,
+			HTTP:        v.HTTP,
+			Service:     v.Service,
+			State:       v.State,
+		})
+	}
+	return nodes
+}
--- /dev/null
+++ b/io/process/dfunode/gates.go
@@ -0,0 +1,96 @@
+package dfunode
+
+import (
+	"context"
+
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/request/dfugate"
+	"dragonflyusher/core/version/dfuroster"
+	"dragonflyusher/io/connection/dfupeer"
+	"dragonflyusher/io/request/dfuadmission"
+	"dragonflyusher/io/request/dfumessage"
+
+	"github.com/cockroachdb/errors"
+)
+
+// gates reaches this node's own gate directly and the others over peer links.
+type gates struct {
+	pool  *dfupeer.Pool
+	local *receiver
+}
+
+// Offer asks the gate beside a target to run a request.
+func (g gates) Offer(ctx context.Context, to dfuroster.Node, offer *dfumessage.Offer) (*dfumessage.Reply, error) {
+	reply := &dfumessage.Reply{}
+	if to.Member == g.local.self() {
+		return reply, g.local.Offer(offer, reply)
+	}
+	lane := dfupeer.Small
+	if offer.Bulk {
+		lane = dfupeer.Bulk
+	}
+	return reply, g.pool.Call(ctx, to.Peer, lane, dfumessage.MethodOffer, offer, reply)
+}
+
+// Cancel withdraws a request.
+func (g gates) Cancel(ctx context.Context, to dfuroster.Node, cancel dfumessage.Cancel) error {
+	if to.Member == g.local.self() {
+		return g.local.Cancel(&cancel, &struct{}{})
+	}
+	return g.pool.Call(ctx, to.Peer, dfupeer.Control, dfumessage.MethodCancel, &cancel, &struct{}{})
+}
+
+// Seal asks what became of a request. A failure ends the link, so that the
+// next seal goes over a new one.
+func (g gates) Seal(ctx context.Context, to dfuroster.Node, seal dfumessage.Seal) (*dfumessage.SealReply, error) {
+	reply := &dfumessage.SealReply{}
+	if to.Member == g.local.self() {
+		return reply, g.local.Seal(&seal, reply)
+	}
+	err := g.pool.Call(ctx, to.Peer, dfupeer.Control, dfumessage.MethodSeal, &seal, reply)
+	if err != nil {
+		g.pool.Reconnect(to.Peer, dfupeer.Control)
+	}
+	return reply, err
+}
+
+// receiver is what other nodes call as "Gate".
+type receiver struct {
+	duty *dfuadmission.Duty
+	view func() *dfuroster.View
+}
+
+var errGateBusy = errors.New("gate is too busy to answer a seal")
+
+// Offer runs a request and fills in its reply.
+func (r *receiver) Offer(offer *dfumessage.Offer, reply *dfumessage.Reply) error {
+	entry, _, _ := r.view().Entry(offer.Service)
+	*reply = *r.duty.Offer(offer, dfugate.Class(entry.Class.Rank()))
+	return nil
+}
+
+// Cancel withdraws a request.
+func (r *receiver) Cancel(cancel *dfumessage.Cancel, _ *struct{}) error {
+	r.duty.Cancel(*cancel)
+	return nil
+}
+
+// Seal forbids a request to start. A seal meant for a former run of this node
+// finds that the run is over.
+func (r *receiver) Seal(seal *dfumessage.Seal, reply *dfumessage.SealReply) error {
+	if seal.To != r.self() {
+		*reply = dfumessage.SealReply{ID: seal.ID, State: dfumessage.SealForgotten}
+		return nil
+	}
+	answer := r.duty.Seal(seal.ID)
+	if answer == nil {
+		return errGateBusy
+	}
+	*reply = *answer
+	return nil
+}
+
+// self returns this run of the node.
+func (r *receiver) self() dfuident.Member {
+	return r.duty.Self()
+}
--- /dev/null
+++ b/io/process/dfunode/node.go
@@ -0,0 +1,296 @@
+package dfunode
+
+import (
+	"context"
+	"hash/maphash"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dragonflyusher/core/connection/dfuchoice"
+	"dragonflyusher/core/process/dfubudget"
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/process/dfumembership"
+	"dragonflyusher/core/request/dfuattempt"
+	"dragonflyusher/core/request/dfugate"
+	"dragonflyusher/core/request/dfuoutcome"
+	"dragonflyusher/core/version/dfuroster"
+	"dragonflyusher/io/connection/dfufront"
+	"dragonflyusher/io/connection/dfupeer"
+	"dragonflyusher/io/process/dfucontrol"
+	"dragonflyusher/io/process/dfusettings"
+	"dragonflyusher/io/process/dfustore"
+	"dragonflyusher/io/request/dfuadmission"
+	"dragonflyusher/io/request/dfudispatch"
+	"dragonflyusher/io/request/dfutrace"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+)
+
+const (
+	// joinPoll is how often a starting node looks whether it has joined.
+	joinPoll = 10 * time.Millisecond
+	// drainPoll is how often a stopping node looks whether its target is
+	// drained.
+	drainPoll = 20 * time.Millisecond
+	// leaveWait is how long a stopping node stays to tell others that it left.
+	leaveWait = 300 * time.Millisecond
+)
+
+// Node is one node of the system.
+type Node struct {
+	settings dfusettings.Settings
+	log      *zap.Logger
+	level    zap.AtomicLevel
+	clock    dfuclock.Clock
+	metrics  metrics.Registry
+	tracer   *dfutrace.Tracer
+	http     net.Listener
+	peer     net.Listener
+	pool     *dfupeer.Pool
+	server   *dfupeer.Server
+	store    *dfustore.Client
+	control  *dfucontrol.Duty
+	front    *dfufront.Front
+	started  atomic.Pointer[started]
+}
+
+// started holds the duties that need the node's incarnation.
+type started struct {
+	self   dfuident.Member
+	gate   *dfuadmission.Duty
+	entry  *dfudispatch.Duty
+	target *localTarget
+}
+
+// New opens the node's listeners and prepares its duties.
+func New(ctx context.Context, settings dfusettings.Settings, log *zap.Logger, level zap.AtomicLevel) (*Node, error) {
+	n := &Node{
+		settings: settings,
+		log:      log,
+		level:    level,
+		clock:    dfuclock.New(),
+		metrics:  metrics.NewRegistry(),
+		pool:     dfupeer.NewPool(dfupeer.DefaultTiming()),
+	}
+	if err := n.listen(ctx); err != nil {
+		return nil, err
+	}
+	tracer, err := dfutrace.New(ctx, dfutrace.Config{
+		Node:           settings.Node,
+		SamplePerMille: settings.Trace.SamplePerMille,
+		File:           settings.Trace.File,
+		OTLPEndpoint:   settings.Trace.OTLPEndpoint,
+	})
+	if err != nil {
+		return nil, err
+	}
+	n.tracer = tracer
+	n.store = dfustore.New(dfustore.Config{Address: settings.Store.Address, Timeout: settings.Store.Timeout, Region: settings.Region})
+	n.control = n.newControl()
+	n.front = dfufront.New(n, n.admin, settings.Limits.RequestBody)
+	n.server, err = dfupeer.NewServer(n.peer)
+	if err != nil {
+		return nil, err
+	}
+	return n, n.server.Register(dfucontrol.ReceiverName, n.control.Receiver())
+}
+
+// Addresses returns where callers and other nodes reach the node.
+func (n *Node) Addresses() (callers, peers dfuident.Address) {
+	return dfuident.Address(n.http.Addr().String()), dfuident.Address(n.peer.Addr().String())
+}
+
+// Serve implements dfufront.Entry. Before the node has joined it knows nothing
+// and says so.
+func (n *Node) Serve(call dfufront.Call, gone <-chan struct{}) dfufront.Result {
+	s := n.started.Load()
+	if s == nil {
+		return dfufront.Result{Outcome: dfuoutcome.NotRun, Reason: dfuoutcome.ReasonNoCatalogue, Detail: "this node has not joined yet"}
+	}
+	return s.entry.Serve(call, gone)
+}
+
+// Run works until ctx ends, then drains the target and leaves.
+func (n *Node) Run(ctx context.Context) error {
+	life, end := context.WithCancel(context.Background())
+	defer end()
+	var wg sync.WaitGroup
+	failed := make(chan error, 1)
+	wg.Go(func() { n.pool.Run(life) })
+	wg.Go(func() {
+		if err := n.front.Run(n.http); err != nil {
+			failed <- err
+		}
+	})
+	wg.Go(func() {
+		if err := n.control.Run(life); err != nil && life.Err() == nil {
+			failed <- err
+		}
+	})
+	s := n.join(ctx, life, &wg)
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	n.leave(s)
+	err = errors.CombineErrors(err, n.front.Close())
+	end()
+	n.server.Close()
+	n.pool.Close()
+	wg.Wait()
+	return errors.CombineErrors(err, n.tracer.Close(context.Background()))
+}
+
+func (n *Node) listen(ctx context.Context) error {
+	var cfg net.ListenConfig
+	callers, err := cfg.Listen(ctx, "tcp", string(n.settings.Listen.HTTP))
+	if err != nil {
+		return errors.Wrap(err, "listen.http")
+	}
+	peers, err := cfg.Listen(ctx, "tcp", string(n.settings.Listen.Peer))
+	if err != nil {
+		callers.Close()
+		return errors.Wrap(err, "listen.peer")
+	}
+	n.http, n.peer = callers, peers
+	return nil
+}
+
+func (n *Node) newControl() *dfucontrol.Duty {
+	cfg := dfucontrol.DefaultConfig()
+	cfg.Node = n.settings.Node
+	cfg.Place = n.place()
+	cfg.HTTP, cfg.Peer = n.Addresses()
+	return dfucontrol.New(cfg, dfucontrol.Deps{
+		Store:   n.store,
+		Caller:  controlCaller{n.pool},
+		Clock:   n.clock,
+		Wall:    time.Now,
+		Rand:    newRand(),
+		Log:     n.log,
+		Publish: n.publish,
+	})
+}
+
+func (n *Node) place() dfuident.Place {
+	return dfuident.Place{Region: n.settings.Region, Zone: n.settings.Zone}
+}
+
+// newRand returns a generator seeded by the system.
+func newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(new(maphash.Hash).Sum64(), uint64(time.Now().UnixNano())))
+}
+
+// join waits until the node knows its incarnation and then starts the duties
+// that need it. It returns nil if ctx ends before.
+func (n *Node) join(ctx, life context.Context, wg *sync.WaitGroup) *started {
+	ticker := time.NewTicker(joinPoll)
+	defer ticker.Stop()
+	for n.control.Member().IsZero() {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+	s := n.assemble(n.control.Member())
+	if err := n.server.Register("Gate", &receiver{duty: s.gate, view: n.control.View}); err != nil {
+		n.log.Error("register gate", zap.Error(err))
+		return nil
+	}
+	wg.Go(n.server.Run)
+	wg.Go(func() { s.gate.Run(life) })
+	wg.Go(func() { s.entry.Run(life) })
+	wg.Go(func() { s.target.run(life.Done()) })
+	n.started.Store(s)
+	n.publish(n.control.View())
+	return s
+}
+
+// assemble makes the duties of a node with a known incarnation.
+func (n *Node) assemble(self dfuident.Member) *started {
+	claims := newMemoryClaims()
+	gate := dfuadmission.New(dfuadmission.Deps{
+		Self:    self,
+		Clock:   n.clock,
+		Log:     n.log,
+		Metrics: n.metrics,
+		Claims:  claims,
+		Machine: dfugate.New(dfugate.DefaultConfig(), self),
+		Tell:    func(dfugate.Action) {},
+	})
+	chooser := dfuchoice.New(dfuchoice.DefaultSettings(), newRand())
+	entry := dfudispatch.New(dfudispatch.Deps{
+		Self:    self,
+		Clock:   n.clock,
+		Log:     n.log,
+		Metrics: n.metrics,
+		Tracer:  n.tracer,
+		Gates:   gates{pool: n.pool, local: &receiver{duty: gate, view: n.control.View}},
+		Owners:  claims,
+		Chooser: chooser,
+		Machine: dfuattempt.New(dfuattempt.DefaultConfig(), self, n.place(), chooser, dfubudget.NewRetryBudget()),
+	})
+	target := &localTarget{
+		self:    self,
+		clock:   n.clock,
+		log:     n.log,
+		gate:    gate,
+		limit:   n.settings.Limits.Answer,
+		publish: n.announce,
+	}
+	return &started{self: self, gate: gate, entry: entry, target: target}
+}
+
+// announce tells the other nodes about the local target.
+func (n *Node) announce(a announced) {
+	n.control.Announce(dfucontrol.Announcement{Target: dfumembership.Target{
+		Service:  a.Service,
+		Slots:    a.Slots,
+		Draining: a.Draining,
+		ColdFor:  a.ColdFor,
+	}})
+}
+
+// publish hands a new view to the duties that decide by it.
+func (n *Node) publish(view *dfuroster.View) {
+	s := n.started.Load()
+	if s == nil {
+		return
+	}
+	s.entry.SetView(view)
+	s.target.setView(view)
+}
+
+// leave drains the target and tells the others that the node has left.
+func (n *Node) leave(s *started) {
+	if s == nil {
+		return
+	}
+	n.log.Info("stopping", zap.Stringer("member", s.self))
+	s.target.stop()
+	deadline := time.Now().Add(n.settings.DrainTimeout.Std())
+	for time.Now().Before(deadline) && !s.gate.Status().Drained {
+		time.Sleep(drainPoll)
+	}
+	n.control.Announce(dfucontrol.Announcement{Left: true})
+	time.Sleep(leaveWait)
+	n.log.Info("left", zap.Stringer("member", s.self))
+}
+
+// controlCaller sends control traffic over its own lane.
+type controlCaller struct {
+	pool *dfupeer.Pool
+}
+
+// Call makes one call on the control lane.
+func (c controlCaller) Call(ctx context.Context, to dfuident.Address, method string, args, reply any) error {
+	return c.pool.Call(ctx, to, dfupeer.Control, method, args, reply)
+}
--- /dev/null
+++ b/io/process/dfunode/target.go
@@ -0,0 +1,228 @@
+package dfunode
+
+import (
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfudecode"
+	"dragonflyusher/core/process/dfufinding"
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/request/dfugate"
+	"dragonflyusher/core/version/dfuroster"
+	"dragonflyusher/io/connection/dfutarget"
+	"dragonflyusher/io/request/dfuadmission"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+)
+
+const (
+	// announcementLifetime is how long an announcement keeps a target in the
+	// roster.
+	announcementLifetime = 3 * dfuclock.Second
+	// coldFor is how long a target that announces itself as cold is loaded
+	// slowly.
+	coldFor = 10 * dfuclock.Second
+	// idleTargetConns bounds the idle connections to the local target.
+	idleTargetConns = 64
+)
+
+// Announcement is what a target tells the node beside it.
+type Announcement struct {
+	Service  dfuident.Service `json:"service"`
+	Address  dfuident.Address `json:"address"`
+	Slots    int              `json:"slots"`
+	Cold     bool             `json:"cold"`
+	Draining bool             `json:"draining"`
+}
+
+// announced is what other nodes are told about the local target.
+type announced struct {
+	Service  dfuident.Service
+	Slots    int
+	Draining bool
+	ColdFor  dfuclock.Duration
+}
+
+// localTarget follows the target beside the node: whether it is there, and
+// whether it is to be drained, which the target, an operator or the stop of
+// the node may ask for.
+type localTarget struct {
+	self    dfuident.Member
+	clock   dfuclock.Clock
+	log     *zap.Logger
+	gate    *dfuadmission.Duty
+	limit   dfuident.Bytes
+	publish func(announced)
+
+	mu       sync.Mutex
+	present  bool
+	current  Announcement
+	heard    dfuclock.Time
+	operator bool
+	stopping bool
+	closed   bool
+	limits   dfugate.Limits
+}
+
+// announce takes an announcement.
+func (t *localTarget) announce(a Announcement) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.heard = t.clock.Now()
+	fresh := !t.present || t.current.Address != a.Address || t.current.Service != a.Service || t.current.Slots != a.Slots
+	changed := fresh || t.current != a
+	t.present = true
+	t.current = a
+	if fresh {
+		t.log.Info("target announced", zap.String("service", string(a.Service)), zap.String("address", string(a.Address)), zap.Int("slots", a.Slots))
+		client := dfutarget.New(a.Address, t.limit, idleTargetConns)
+		t.gate.SetTarget(client, dfugate.TargetAnnounced{Service: a.Service, Slots: a.Slots, Cold: a.Cold})
+	}
+	if changed {
+		t.settle()
+	}
+}
+
+// sweep withdraws a target that has not announced itself for a while.
+func (t *localTarget) sweep() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.present || t.clock.Now().Sub(t.heard) < announcementLifetime {
+		return
+	}
+	t.log.Warn("target withdrawn", zap.String("service", string(t.current.Service)), zap.String("reason", "no announcement"))
+	t.present = false
+	t.gate.SetTarget(nil, dfugate.TargetWithdrawn{})
+	t.settle()
+}
+
+// setView takes over limits and the operators' drain list.
+func (t *localTarget) setView(view *dfuroster.View) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.present {
+		return
+	}
+	entry, _, ok := view.Entry(t.current.Service)
+	if !ok {
+		return
+	}
+	t.operator = slices.Contains(entry.Drain, t.self.Node)
+	limits := dfugate.Limits{
+		Concurrency:   entry.Limits.Concurrency,
+		Queue:         entry.Limits.Queue,
+		RatePerSecond: entry.Limits.RatePerS,
+	}
+	if limits != t.limits {
+		t.limits = limits
+		t.gate.Notify(dfugate.LimitsChanged{Limits: limits})
+	}
+	t.settle()
+}
+
+// stop drains the target because the node is about to end.
+func (t *localTarget) stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopping = true
+	t.settle()
+}
+
+// settle closes or opens the gate and tells the other nodes. The gate closes
+// before anybody is told.
+func (t *localTarget) settle() {
+	drain := t.stopping || t.operator || (t.present && t.current.Draining)
+	if drain != t.closed {
+		t.closed = drain
+		t.log.Info("drain changed", zap.Bool("draining", drain), zap.Bool("operator", t.operator), zap.Bool("stopping", t.stopping))
+		if drain {
+			t.gate.Notify(dfugate.DrainRequested{})
+		} else {
+			t.gate.Notify(dfugate.DrainCanceled{})
+		}
+	}
+	out := announced{Draining: drain}
+	if t.present {
+		out.Service = t.current.Service
+		out.Slots = t.current.Slots
+		if t.current.Cold {
+			out.ColdFor = coldFor
+		}
+	}
+	t.publish(out)
+}
+
+// run looks for a missing target until done ends.
+func (t *localTarget) run(done <-chan struct{}) {
+	ticker := time.NewTicker(announcementLifetime.Std() / 6)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-ticker.C:
+			t.sweep()
+		}
+	}
+}
+
+// handle answers POST /dragonflyusher/target.
+func (t *localTarget) handle(ctx *fasthttp.RequestCtx) {
+	var a Announcement
+	if err := parseAnnouncement(ctx.PostBody(), &a); err != nil {
+		writeError(ctx, fasthttp.StatusBadRequest, err)
+		return
+	}
+	t.announce(a)
+	status := t.gate.Status()
+	state := "serving"
+	switch {
+	case status.Drained:
+		state = "drained"
+	case status.Draining:
+		state = "draining"
+	}
+	writeJSON(ctx, struct {
+		State string `json:"state"`
+	}{state})
+}
+
+func parseAnnouncement(data []byte, a *Announcement) error {
+	var findings dfufinding.List
+	positions := dfudecode.Strict("announcement", data, a, &findings)
+	if !positions.Parsed() {
+		return findings.Err()
+	}
+	if a.Service == "" {
+		positions.Add(&findings, "service", "must not be empty")
+	}
+	if _, err := netip.ParseAddrPort(string(a.Address)); err != nil {
+		positions.Add(&findings, "address", "must be an IP address with a port")
+	}
+	if a.Slots <= 0 {
+		positions.Add(&findings, "slots", "must be positive")
+	}
+	return findings.Err()
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		writeError(ctx, fasthttp.StatusInternalServerError, errors.Wrap(err, "encode answer"))
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(body, '\n'))
+}
+
+func writeError(ctx *fasthttp.RequestCtx, status int, err error) {
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("text/plain; charset=utf-8")
+	ctx.SetBodyString(err.Error() + "\n")
+}
--- /dev/null
+++ b/io/process/dfusettings/doc.go
@@ -0,0 +1,2 @@
+// Package dfusettings reads and checks the JSON settings of a node.
+package dfusettings
--- /dev/null
+++ b/io/process/dfusettings/settings.go
@@ -0,0 +1,161 @@
+package dfusettings
+
+import (
+	"net/netip"
+	"os"
+
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfudecode"
+	"dragonflyusher/core/process/dfufinding"
+	"dragonflyusher/core/process/dfuident"
+
+	"github.com/cockroachdb/errors"
+)
+
+// The defaults of settings that may be left out.
+const (
+	defaultStoreTimeout dfuclock.Duration = 1 * dfuclock.Second
+	defaultDrainTimeout dfuclock.Duration = 30 * dfuclock.Second
+	defaultBodyBytes    dfuident.Bytes    = 32 << 20
+	defaultAnswerBytes  dfuident.Bytes    = 32 << 20
+	defaultInFlight                       = 4096
+	defaultLevel                          = "info"
+)
+
+// Settings is the whole configuration of one node.
+type Settings struct {
+	Node   dfuident.NodeID `json:"node"`
+	Region dfuident.Region `json:"region"`
+	Zone   dfuident.Zone   `json:"zone"`
+	Listen Listen          `json:"listen"`
+	Store  Store           `json:"store"`
+	Log    Log             `json:"log"`
+	Trace  Trace           `json:"trace"`
+	Limits Limits          `json:"limits"`
+	// DrainTimeout bounds how long a planned stop waits for requests in
+	// progress, in ms.
+	DrainTimeout dfuclock.Duration `json:"drain_timeout_ms"`
+}
+
+// Listen holds the addresses that the node listens on and is reached at.
+type Listen struct {
+	HTTP dfuident.Address `json:"http"`
+	Peer dfuident.Address `json:"peer"`
+}
+
+// Store locates the platform's key-value service.
+type Store struct {
+	Address dfuident.Address  `json:"address"`
+	Timeout dfuclock.Duration `json:"timeout_ms"`
+}
+
+// Log selects what is logged.
+type Log struct {
+	// Level is one of debug, info, warn and error.
+	Level string `json:"level"`
+}
+
+// Trace selects which requests are traced and where their spans go.
+type Trace struct {
+	// SamplePerMille is the share of requests without a sampled traceparent
+	// that are traced, from 0 to 1000.
+	SamplePerMille int `json:"sample_per_mille"`
+	// File receives spans as JSON, one after another; empty for none.
+	File string `json:"file"`
+	// OTLPEndpoint is the host:port of an OTLP/HTTP collector; empty for none.
+	OTLPEndpoint string `json:"otlp_endpoint"`
+}
+
+// Limits bounds what the node holds at one time.
+type Limits struct {
+	RequestBody dfuident.Bytes `json:"request_body_bytes"`
+	Answer      dfuident.Bytes `json:"answer_bytes"`
+	// InFlight is the number of requests that the node accepts from callers
+	// at one time.
+	InFlight int `json:"in_flight"`
+}
+
+// Load reads the settings file at path and returns them with defaults filled
+// in. The error holds every finding with its place.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read settings")
+	}
+	return Parse(path, data)
+}
+
+// Parse checks data, the content of the named file, as settings.
+func Parse(file string, data []byte) (Settings, error) {
+	settings := defaults()
+	var findings dfufinding.List
+	positions := dfudecode.Strict(file, data, &settings, &findings)
+	if positions.Parsed() {
+		c := checker{positions: positions, findings: &findings}
+		c.check(settings)
+	}
+	return settings, findings.Err()
+}
+
+func defaults() Settings {
+	return Settings{
+		Store:        Store{Timeout: defaultStoreTimeout},
+		Log:          Log{Level: defaultLevel},
+		DrainTimeout: defaultDrainTimeout,
+		Limits: Limits{
+			RequestBody: defaultBodyBytes,
+			Answer:      defaultAnswerBytes,
+			InFlight:    defaultInFlight,
+		},
+	}
+}
+
+// checker records what is wrong with the values of settings.
+type checker struct {
+	positions *dfudecode.Positions
+	findings  *dfufinding.List
+}
+
+func (c checker) check(s Settings) {
+	c.notEmpty("node", string(s.Node))
+	c.notEmpty("region", string(s.Region))
+	c.notEmpty("zone", string(s.Zone))
+	c.address("listen.http", s.Listen.HTTP)
+	c.address("listen.peer", s.Listen.Peer)
+	c.address("store.address", s.Store.Address)
+	c.positive("store.timeout_ms", int64(s.Store.Timeout))
+	c.positive("drain_timeout_ms", int64(s.DrainTimeout))
+	c.positive("limits.request_body_bytes", int64(s.Limits.RequestBody))
+	c.positive("limits.answer_bytes", int64(s.Limits.Answer))
+	c.positive("limits.in_flight", int64(s.Limits.InFlight))
+	switch s.Log.Level {
+	case "debug", "info", "warn", "error":
+	default:
+		c.add("log.level", "is %q, must be one of debug, info, warn, error", s.Log.Level)
+	}
+	if s.Trace.SamplePerMille < 0 || s.Trace.SamplePerMille > 1000 {
+		c.add("trace.sample_per_mille", "is %d, must be from 0 to 1000", s.Trace.SamplePerMille)
+	}
+}
+
+func (c checker) add(path, format string, args ...any) {
+	c.positions.Add(c.findings, path, format, args...)
+}
+
+func (c checker) notEmpty(path, value string) {
+	if value == "" {
+		c.add(path, "must not be empty")
+	}
+}
+
+func (c checker) address(path string, address dfuident.Address) {
+	if _, err := netip.ParseAddrPort(string(address)); err != nil {
+		c.add(path, "is %q, must be an IP address with a port, as in 127.0.0.1:7001", address)
+	}
+}
+
+func (c checker) positive(path string, value int64) {
+	if value <= 0 {
+		c.add(path, "is %d, must be positive", value)
+	}
+}
--- /dev/null
+++ b/io/request/dfudispatch/duty.go
@@ -0,0 +1,468 @@
+package dfudispatch
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"dragonflyusher/core/connection/dfuchoice"
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/process/dfuring"
+	"dragonflyusher/core/request/dfuattempt"
+	"dragonflyusher/core/request/dfuoutcome"
+	"dragonflyusher/core/version/dfuroster"
+	"dragonflyusher/io/connection/dfufront"
+	"dragonflyusher/io/connection/dfupeer"
+	"dragonflyusher/io/request/dfumessage"
+	"dragonflyusher/io/request/dfutrace"
+
+	"github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+)
+
+// ringSize bounds the inputs that wait for the machine.
+const ringSize = 8192
+
+// Gates reaches the gate beside a target, of this node or another.
+type Gates interface {
+	Offer(ctx context.Context, to dfuroster.Node, offer *dfumessage.Offer) (*dfumessage.Reply, error)
+	Cancel(ctx context.Context, to dfuroster.Node, cancel dfumessage.Cancel) error
+	Seal(ctx context.Context, to dfuroster.Node, seal dfumessage.Seal) (*dfumessage.SealReply, error)
+}
+
+// Owners tells which node alone may run a key of a non-idempotent service.
+type Owners interface {
+	Owner(view *dfuroster.View, service dfuident.Service, key dfuident.Key) (dfuident.Member, bool)
+}
+
+// Chooser picks targets and is told which there are.
+type Chooser interface {
+	dfuattempt.Chooser
+	SetTargets(now dfuclock.Time, service dfuident.Service, targets []dfuchoice.Target)
+}
+
+// Deps are what a Duty needs.
+type Deps struct {
+	Self    dfuident.Member
+	Clock   dfuclock.Clock
+	Log     *zap.Logger
+	Metrics metrics.Registry
+	Tracer  *dfutrace.Tracer
+	Gates   Gates
+	Owners  Owners
+	Chooser Chooser
+	Machine *dfuattempt.Machine
+}
+
+// Duty runs the entry side of one node.
+type Duty struct {
+	deps    Deps
+	inputs  *dfuring.Ring[input]
+	stopped chan struct{}
+	view    atomic.Pointer[dfuroster.View]
+	number  atomic.Uint64
+	// The fields below belong to the goroutine of Run.
+	waiting  map[dfuattempt.RequestNumber]*request
+	attempts map[dfuident.RequestID]*attempt
+	known    *dfuroster.View
+	services map[dfuident.Service]struct{}
+	outcomes map[dfuoutcome.Outcome]metrics.Counter
+}
+
+// request is a call without a result yet.
+type request struct {
+	call    dfufront.Call
+	event   dfuattempt.Arrived
+	span    trace.Span
+	reply   chan dfufront.Result
+	arrived time.Time
+	sent    []dfuident.RequestID
+	bulk    bool
+}
+
+// attempt is one offer under way.
+type attempt struct {
+	to     dfuroster.Node
+	number int
+	cancel context.CancelFunc
+	span   trace.Span
+	answer *dfumessage.Answer
+	// lost says that the link failed, so that only a seal can bring the answer.
+	lost bool
+}
+
+// New returns a duty that does nothing until Run.
+func New(deps Deps) *Duty {
+	d := &Duty{
+		deps:     deps,
+		inputs:   dfuring.New[input](ringSize),
+		stopped:  make(chan struct{}),
+		waiting:  map[dfuattempt.RequestNumber]*request{},
+		attempts: map[dfuident.RequestID]*attempt{},
+		known:    dfuroster.New(),
+		services: map[dfuident.Service]struct{}{},
+		outcomes: map[dfuoutcome.Outcome]metrics.Counter{},
+	}
+	d.view.Store(d.known)
+	for _, o := range []dfuoutcome.Outcome{dfuoutcome.Answered, dfuoutcome.NotRun, dfuoutcome.Unknown} {
+		d.outcomes[o] = metrics.GetOrRegisterCounter("entry."+string(o), deps.Metrics)
+	}
+	return d
+}
+
+// SetView puts a new view of the fleet in force.
+func (d *Duty) SetView(view *dfuroster.View) {
+	d.view.Store(view)
+	d.push(viewed{view})
+}
+
+// Serve implements dfufront.Entry.
+func (d *Duty) Serve(call dfufront.Call, gone <-chan struct{}) dfufront.Result {
+	event, refused := d.admit(&call)
+	if refused != nil {
+		return *refused
+	}
+	span, traceparent := d.deps.Tracer.Start(call.Traceparent, "entry")
+	call.Traceparent = traceparent
+	in := arrived{event: event, call: call, span: span, reply: make(chan dfufront.Result, 1)}
+	if !d.inputs.Offer(in) {
+		span.End()
+		return notRun(dfuoutcome.ReasonEntryOverloaded, "")
+	}
+	return d.await(in, gone)
+}
+
+func (d *Duty) await(in arrived, gone <-chan struct{}) dfufront.Result {
+	for {
+		select {
+		case result := <-in.reply:
+			return result
+		case <-gone:
+			d.push(plain{dfuattempt.CallerGone{Request: in.event.Request}})
+			gone = nil
+		case <-d.stopped:
+			return dfufront.Result{Outcome: dfuoutcome.Unknown, Reason: dfuoutcome.ReasonNodeDraining}
+		}
+	}
+}
+
+// admit checks a call against the catalogue.
+func (d *Duty) admit(call *dfufront.Call) (dfuattempt.Arrived, *dfufront.Result) {
+	refuse := func(reason dfuoutcome.Reason, detail string) (dfuattempt.Arrived, *dfufront.Result) {
+		d.outcomes[dfuoutcome.NotRun].Inc(1)
+		result := notRun(reason, detail)
+		return dfuattempt.Arrived{}, &result
+	}
+	view := d.view.Load()
+	entry, _, ok := view.Entry(call.Service)
+	switch {
+	case !ok && len(view.Services()) == 0:
+		return refuse(dfuoutcome.ReasonNoCatalogue, "this node has no catalogue yet")
+	case !ok:
+		return refuse(dfuoutcome.ReasonUnknownService, "the catalogue has no service "+strconv.Quote(string(call.Service)))
+	case dfuident.Bytes(len(call.Body)) > entry.Limits.BodyBytes:
+		return refuse(dfuoutcome.ReasonBodyTooLarge, "the catalogue allows "+strconv.FormatInt(int64(entry.Limits.BodyBytes), 10)+" bytes")
+	case entry.NonIdempotent && call.Key == "":
+		return refuse(dfuoutcome.ReasonKeyMissing, "the service is non-idempotent: send Idempotency-Key")
+	}
+	call.Remaining = min(call.Remaining, entry.Limits.Deadline)
+	event := dfuattempt.Arrived{
+		Request:    dfuattempt.RequestNumber(d.number.Add(1)),
+		Service:    call.Service,
+		Caller:     call.Caller,
+		Class:      class(entry.Class),
+		Key:        call.Key,
+		Idempotent: !entry.NonIdempotent,
+		Remaining:  call.Remaining,
+		Body:       dfuident.Bytes(len(call.Body)),
+		Allowance:  allowance(call.Allowance),
+		Hedge:      entry.Retry.Hedge && !entry.NonIdempotent,
+	}
+	if entry.NonIdempotent {
+		owner, ok := d.deps.Owners.Owner(view, call.Service, call.Key)
+		if !ok {
+			return refuse(dfuoutcome.ReasonNotOwner, "no node owns the key's shard yet")
+		}
+		event.Owner = owner
+	}
+	return event, nil
+}
+
+// Run steps the machine until ctx ends.
+func (d *Duty) Run(ctx context.Context) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		d.arm(timer)
+		select {
+		case <-ctx.Done():
+			close(d.stopped)
+			return
+		case in := <-d.inputs.Items():
+			d.take(in)
+		case <-timer.C:
+			d.step(dfuattempt.Tick{})
+		}
+	}
+}
+
+// arm sets the timer to the machine's next deadline.
+func (d *Duty) arm(timer *time.Timer) {
+	due, ok := d.deps.Machine.Next()
+	if !ok {
+		timer.Stop()
+		return
+	}
+	timer.Reset(max(due.Sub(d.deps.Clock.Now()), dfuclock.Millisecond).Std())
+}
+
+// push gives the goroutine of Run an input that must not be lost.
+func (d *Duty) push(in input) {
+	for !d.inputs.Offer(in) {
+		select {
+		case <-d.stopped:
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+func (d *Duty) take(in input) {
+	switch in := in.(type) {
+	case arrived:
+		d.waiting[in.event.Request] = &request{call: in.call, event: in.event, span: in.span, reply: in.reply, arrived: time.Now(), bulk: isBulk(d.known, in.call)}
+		d.step(in.event)
+	case replied:
+		d.takeReply(in)
+	case plain:
+		d.step(in.event)
+	case viewed:
+		d.setTargets(in.view)
+	case inspected:
+		in.reply <- len(d.waiting)
+	}
+}
+
+// takeReply keeps the attempt of a lost link, whose answer a seal may bring.
+func (d *Duty) takeReply(in replied) {
+	_, lost := in.event.(dfuattempt.LinkLost)
+	a := d.attempts[in.id]
+	if a != nil {
+		a.answer = in.answer
+		a.lost = a.lost || lost
+	}
+	d.step(in.event)
+	if !lost {
+		d.endAttempt(in.id)
+	}
+}
+
+func (d *Duty) step(event dfuattempt.Event) {
+	for _, action := range d.deps.Machine.Step(d.deps.Clock.Now(), event) {
+		d.act(action)
+	}
+}
+
+func (d *Duty) act(action dfuattempt.Action) {
+	switch a := action.(type) {
+	case dfuattempt.Send:
+		d.send(a)
+	case dfuattempt.SendCancel:
+		d.sendCancel(a)
+	case dfuattempt.SendSeal:
+		d.sendSeal(a)
+	case dfuattempt.Finish:
+		d.finish(a)
+	case dfuattempt.Log:
+		d.deps.Log.Info("entry incident", zap.String("kind", string(a.Kind)), zap.Stringer("request_id", a.ID))
+	}
+}
+
+// send starts an attempt.
+func (d *Duty) send(a dfuattempt.Send) {
+	r := d.waiting[a.Request]
+	node, ok := d.known.Node(a.To.Node)
+	if r == nil || !ok || node.Member != a.To {
+		go d.push(replied{id: a.ID, event: dfuattempt.NotSent{ID: a.ID}})
+		return
+	}
+	span, traceparent := d.deps.Tracer.Start(r.call.Traceparent, "attempt")
+	span.SetAttributes(
+		attribute.Int("attempt", a.Attempt),
+		attribute.String("target", string(a.To.Node)),
+		attribute.String("zone", node.Place.String()),
+		attribute.String("attempt_reason", string(a.Reason)),
+		attribute.String("choice_reason", string(a.Choice)),
+		attribute.String("request_id", a.ID.String()),
+	)
+	ctx, cancel := context.WithCancel(context.Background())
+	r.sent = append(r.sent, a.ID)
+	d.attempts[a.ID] = &attempt{to: node, number: a.Attempt, cancel: cancel, span: span}
+	go d.offer(ctx, node, newOffer(a, r, traceparent))
+}
+
+func newOffer(a dfuattempt.Send, r *request, traceparent string) *dfumessage.Offer {
+	return &dfumessage.Offer{
+		ID:          a.ID,
+		To:          a.To,
+		Service:     r.call.Service,
+		Caller:      r.call.Caller,
+		Key:         r.call.Key,
+		Remaining:   a.Remaining,
+		Settled:     a.Settled,
+		Allowance:   int(a.Allowance),
+		Idempotent:  r.event.Idempotent,
+		Bulk:        r.bulk,
+		Traceparent: traceparent,
+		Method:      r.call.Method,
+		URI:         r.call.URI,
+		Headers:     r.call.Headers,
+		Body:        r.call.Body,
+		Checksum:    dfumessage.Sum(a.ID, r.call.Body),
+	}
+}
+
+// offer waits for the reply to one attempt.
+func (d *Duty) offer(ctx context.Context, to dfuroster.Node, offer *dfumessage.Offer) {
+	reply, err := d.deps.Gates.Offer(ctx, to, offer)
+	d.push(endOf(offer.ID, reply, err))
+}
+
+// endOf turns what came of an offer into the machine's event. A reply under
+// another id or with a wrong checksum counts as lost.
+func endOf(id dfuident.RequestID, reply *dfumessage.Reply, err error) replied {
+	switch {
+	case isNotSent(err):
+		return replied{id: id, event: dfuattempt.NotSent{ID: id}}
+	case err != nil, reply.ID != id:
+		return replied{id: id, event: dfuattempt.LinkLost{ID: id}}
+	case reply.Outcome == dfuoutcome.Answered && reply.Checksum != dfumessage.Sum(id, reply.Answer.Body):
+		return replied{id: id, event: dfuattempt.LinkLost{ID: id}}
+	}
+	load := dfuchoice.Load(reply.Load)
+	return replied{
+		id:     id,
+		answer: &reply.Answer,
+		event: dfuattempt.Replied{
+			ID:          id,
+			Outcome:     reply.Outcome,
+			Reason:      reply.Reason,
+			TargetError: reply.Answer.Status >= firstServerError,
+			Load:        &load,
+		},
+	}
+}
+
+// firstServerError is the lowest HTTP status that blames the target.
+const firstServerError = 500
+
+func isNotSent(err error) bool {
+	return err != nil && dfupeer.IsNotSent(err)
+}
+
+// endAttempt forgets an attempt.
+func (d *Duty) endAttempt(id dfuident.RequestID) {
+	a := d.attempts[id]
+	if a == nil {
+		return
+	}
+	a.span.End()
+	a.cancel()
+	delete(d.attempts, id)
+}
+
+// cancelLimit bounds the sending of a cancellation.
+const cancelLimit = time.Second
+
+func (d *Duty) sendCancel(a dfuattempt.SendCancel) {
+	node, ok := d.known.Node(a.To.Node)
+	if !ok {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelLimit)
+		defer cancel()
+		_ = d.deps.Gates.Cancel(ctx, node, dfumessage.Cancel{ID: a.ID, Reason: dfuoutcome.ReasonCanceled})
+	}()
+}
+
+// sealLimit bounds the wait for the answer to one seal.
+const sealLimit = 500 * time.Millisecond
+
+func (d *Duty) sendSeal(a dfuattempt.SendSeal) {
+	node, ok := d.known.Node(a.To.Node)
+	if !ok || node.Member != a.To {
+		go d.push(plain{dfuattempt.SealFailed{ID: a.ID, Gone: ok}})
+		return
+	}
+	d.deps.Log.Info("seal sent", zap.Stringer("request_id", a.ID), zap.Stringer("to", a.To))
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), sealLimit)
+		defer cancel()
+		reply, err := d.deps.Gates.Seal(ctx, node, dfumessage.Seal{ID: a.ID, To: a.To})
+		d.push(sealEnd(a.ID, reply, err))
+	}()
+}
+
+func (d *Duty) finish(a dfuattempt.Finish) {
+	r := d.waiting[a.Request]
+	if r == nil {
+		return
+	}
+	delete(d.waiting, a.Request)
+	result := dfufront.Result{Outcome: a.Outcome, Reason: a.Reason, ID: a.ID, Attempts: a.Attempts}
+	if at := d.attempts[a.ID]; at != nil {
+		result.Target = at.to.Member.Node
+		if at.answer != nil {
+			result.Answer = *at.answer
+		}
+	}
+	d.outcomes[a.Outcome].Inc(1)
+	r.span.SetAttributes(
+		attribute.String("service", string(r.call.Service)),
+		attribute.String("outcome", string(a.Outcome)),
+		attribute.String("reason", string(a.Reason)),
+		attribute.Int("attempts", a.Attempts),
+	)
+	r.span.End()
+	if a.Outcome != dfuoutcome.Answered {
+		d.deps.Log.Info("request finished", zap.Uint64("request", uint64(a.Request)),
+			zap.Stringer("request_id", a.ID), zap.String("service", string(r.call.Service)),
+			zap.String("outcome", string(a.Outcome)), zap.String("reason", string(a.Reason)),
+			zap.Int("attempts", a.Attempts))
+	}
+	for _, id := range r.sent {
+		if at := d.attempts[id]; at != nil && at.lost {
+			d.endAttempt(id)
+		}
+	}
+	r.reply <- result
+}
+
+// setTargets tells the chooser about the services whose nodes have changed.
+func (d *Duty) setTargets(view *dfuroster.View) {
+	now := d.deps.Clock.Now()
+	old := d.known
+	d.known = view
+	seen := map[dfuident.Service]struct{}{}
+	for _, service := range view.Services() {
+		seen[service] = struct{}{}
+		if !sameTargets(old, view, service) {
+			d.deps.Chooser.SetTargets(now, service, targets(view, service))
+		}
+	}
+	for service := range d.services {
+		if _, ok := seen[service]; !ok {
+			d.deps.Chooser.SetTargets(now, service, nil)
+		}
+	}
+	d.services = seen
+}
+
+func notRun(reason dfuoutcome.Reason, detail string) dfufront.Result {
+	return dfufront.Result{Outcome: dfuoutcome.NotRun, Reason: reason, Detail: detail}
+}
--- /dev/null
+++ b/io/request/dfumessage/message.go
@@ -0,0 +1,128 @@
+package dfumessage
+
+import (
+	"encoding/binary"
+
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/request/dfuoutcome"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// The methods of the receiver that a target's node registers as "Gate".
+const (
+	MethodOffer  = "Gate.Offer"
+	MethodCancel = "Gate.Cancel"
+	MethodSeal   = "Gate.Seal"
+)
+
+// Header is one HTTP header field.
+type Header struct {
+	Name  string
+	Value string
+}
+
+// Offer asks the target's node to run a request.
+type Offer struct {
+	ID dfuident.RequestID
+	// To is the run of the node that the entry node means; another run under
+	// the same address refuses.
+	To      dfuident.Member
+	Service dfuident.Service
+	Caller  dfuident.Caller
+	Key     dfuident.Key
+	// Remaining is the time left until the caller's deadline.
+	Remaining dfuclock.Duration
+	// Settled is the sequence below which the entry node waits for nothing.
+	Settled uint64
+	// Allowance is the number of retries that the levels below may still make.
+	Allowance  int
+	Idempotent bool
+	// Bulk says that the request or its answer may be large.
+	Bulk        bool
+	Traceparent string
+	Method      string
+	URI         string
+	Headers     []Header
+	Body        []byte
+	// Checksum is Sum over the id and Body.
+	Checksum uint64
+}
+
+// Load is the state of a target's queue, sent with every answer.
+type Load struct {
+	InFlight    uint16
+	Queued      uint16
+	Slots       uint16
+	ServiceTime dfuclock.Duration
+	Sequence    uint32
+}
+
+// Answer is the whole answer of a target.
+type Answer struct {
+	Status  int
+	Headers []Header
+	Body    []byte
+}
+
+// Reply tells the entry node the outcome of an offer.
+type Reply struct {
+	// ID repeats the offer's id, so that a reply can't be taken for another's.
+	ID      dfuident.RequestID
+	Outcome dfuoutcome.Outcome
+	Reason  dfuoutcome.Reason
+	Load    Load
+	Answer  Answer
+	// Checksum is Sum over the id and the answer's body.
+	Checksum uint64
+}
+
+// Cancel tells the target's node that nobody waits for a request any more.
+type Cancel struct {
+	ID     dfuident.RequestID
+	Reason dfuoutcome.Reason
+}
+
+// SealState is what the target's node knows of a sealed request.
+type SealState string
+
+const (
+	// SealNever means that the request was not run and never will be.
+	SealNever SealState = "never"
+	// SealRunning means that the request is running.
+	SealRunning SealState = "running"
+	// SealFinished means that the request ran.
+	SealFinished SealState = "finished"
+	// SealForgotten means that the node can't tell any more.
+	SealForgotten SealState = "forgotten"
+)
+
+// Seal asks the target's node to never hand over a request that it has not
+// handed over yet.
+type Seal struct {
+	ID dfuident.RequestID
+	To dfuident.Member
+}
+
+// SealReply answers a Seal.
+type SealReply struct {
+	ID    dfuident.RequestID
+	State SealState
+	// Reply is the outcome of a finished request if it is still kept.
+	Reply *Reply
+}
+
+// Sum returns the checksum of a body that belongs to the request id, so that
+// a body under a wrong id never passes.
+func Sum(id dfuident.RequestID, body []byte) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	var number [16]byte
+	binary.BigEndian.PutUint64(number[:8], uint64(id.Entry.Incarnation))
+	binary.BigEndian.PutUint64(number[8:], id.Sequence)
+	_, _ = digest.WriteString(string(id.Entry.Node))
+	_, _ = digest.Write(number[:])
+	_, _ = digest.Write(body)
+	return digest.Sum64()
+}
--- /dev/null
+++ b/standin/dfutargetstandin/effects.go
@@ -0,0 +1,58 @@
+package dfutargetstandin
+
+import (
+	"encoding/json"
+	"os"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Effect is one line of the effect log.
+type Effect struct {
+	Event     EffectEvent `json:"event"`
+	Target    string      `json:"target"`
+	Service   string      `json:"service"`
+	RequestID string      `json:"request_id"`
+	Key       string      `json:"key,omitempty"`
+}
+
+// EffectEvent says what happened to a run.
+type EffectEvent string
+
+// The events of a run.
+const (
+	EffectStarted  EffectEvent = "started"
+	EffectFinished EffectEvent = "finished"
+	EffectCanceled EffectEvent = "canceled"
+	EffectCrashed  EffectEvent = "crashed"
+)
+
+// effectLog appends effects to a file. A line is written before its run goes
+// on, so that a killed target leaves no run without a line.
+type effectLog struct {
+	mu   sync.Mutex
+	file *os.File
+}
+
+func openEffectLog(path string) (*effectLog, error) {
+	if path == "" {
+		return &effectLog{}, nil
+	}
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	return &effectLog{file: file}, errors.Wrap(err, "open effect log")
+}
+
+func (l *effectLog) add(effect Effect) error {
+	if l.file == nil {
+		return nil
+	}
+	line, err := json.Marshal(effect)
+	if err != nil {
+		return errors.Wrap(err, "encode effect")
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, err = l.file.Write(append(line, '\n'))
+	return errors.Wrap(err, "write effect")
+}
