io/process/dfucontrol: exchange records between peers, watch from two nodes a zone

Every node watching the store costs it one waiting call a node. Now the two first-ranked members of a zone watch; a change runs along the fingers as an advert and is fetched once by each node. Digests on probes find losses.

go test -race ./io/process/dfucontrol passes.

--- a/core/process/dfumembership/lists.go
+++ b/core/process/dfumembership/lists.go
@@ -28,6 +28,9 @@
 	bridges []*member
 	// bridge reports whether the node itself is one.
 	bridge bool
+	// rank counts the members of the node's zone that outrank it.
+	rank     int
+	zoneSize int
 }
 
 type remoteList struct {
@@ -72,6 +75,12 @@
 		if h != m.self {
 			byPlace[place] = append(byPlace[place], h)
 		}
+		if place == m.self.update.Details.Place {
+			l.zoneSize++
+			if h.update.State == Alive && outranks(h, m.self) {
+				l.rank++
+			}
+		}
 	}
 	slices.SortFunc(places, comparePlaces)
 	for _, place := range places {
@@ -119,6 +128,29 @@
 	return m.grouped().bridge
 }
 
+// Fingers returns the members of the region that the node talks to by itself.
+func (m *Machine) Fingers() []Contact {
+	fingers := m.grouped().fingers
+	contacts := make([]Contact, len(fingers))
+	for i, h := range fingers {
+		contacts[i] = h.contact()
+	}
+	return contacts
+}
+
+// ZoneRank returns how many members of the node's zone come before it when a
+// role is given to the first few, and the size of the zone.
+func (m *Machine) ZoneRank() (rank, size int) {
+	l := m.grouped()
+	return l.rank, l.zoneSize
+}
+
+// Joined reports whether the node knows what others know: another has told it,
+// or the zone pages list no other of its region.
+func (m *Machine) Joined() bool {
+	return m.sync.joined || !slices.ContainsFunc(m.seeds, func(c Contact) bool { return c.Region == m.region })
+}
+
 // pick returns a random member of a list for which keep is true, or nil.
 func (m *Machine) pick(members []*member, keep func(*member) bool) *member {
 	if len(members) == 0 {
--- a/core/process/dfumembership/sync.go
+++ b/core/process/dfumembership/sync.go
@@ -215,6 +215,7 @@
 			m.seeds = append(m.seeds, c)
 		}
 	}
+	m.pingNewRegions()
 	if m.sync.joined {
 		return
 	}
@@ -227,6 +228,19 @@
 	}
 }
 
+// pingNewRegions makes a bridge meet regions of which it knows nobody.
+func (m *Machine) pingNewRegions() {
+	met := make(map[dfuident.Region]bool)
+	for _, i := range m.rng.Perm(len(m.seeds)) {
+		c := m.seeds[i]
+		if c.Region != m.region && !met[c.Region] && m.mayContact(c.Region) {
+			met[c.Region] = true
+			m.probe.sequence++
+			m.ping(c, m.probe.sequence)
+		}
+	}
+}
+
 func (m *Machine) computeDigests() {
 	if m.sync.fresh {
 		return
--- a/core/version/dfurecord/digest.go
+++ b/core/version/dfurecord/digest.go
@@ -1,6 +1,7 @@
 package dfurecord
 
 import (
+	"cmp"
 	"encoding/binary"
 	"slices"
 
@@ -118,6 +119,12 @@
 	return xxhash.Sum64(b)
 }
 
+func sortSummaries(summaries []Summary) {
+	slices.SortFunc(summaries, func(a, b Summary) int {
+		return cmp.Compare(a.Key, b.Key)
+	})
+}
+
 func bucketOf(key string) int {
 	return int(xxhash.Sum64String(key) % bucketCount)
 }
--- /dev/null
+++ b/core/version/dfurecord/exchange.go
@@ -0,0 +1,409 @@
+package dfurecord
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+)
+
+// ExchangeConfig holds the periods and bounds of an exchange.
+type ExchangeConfig struct {
+	// Prefixes are the keys that are exchanged.
+	Prefixes []string
+	// Fanout is the number of peers that one round of adverts goes to.
+	Fanout int
+	// Rounds is the number of rounds in which a node advertises a change.
+	Rounds int
+	// FetchTimeout is the wait before a key is fetched from another peer.
+	FetchTimeout dfuclock.Duration
+	// TransferBytes bounds the records in one message.
+	TransferBytes dfuident.Bytes
+	// SettlePeriod is how long the copy must have been unchanged before a
+	// differing digest counts as a loss rather than as news on its way.
+	SettlePeriod dfuclock.Duration
+	// SettleAcross is the same for a peer in another region.
+	SettleAcross dfuclock.Duration
+	// ComparePeriod is the least time between two compares begun by the node.
+	ComparePeriod dfuclock.Duration
+	// QuietPeriod is the age of the copy from which the node reads the store
+	// itself.
+	QuietPeriod dfuclock.Duration
+	// ReadSpread times the zone's size is the time over which the nodes of a
+	// zone spread these reads.
+	ReadSpread dfuclock.Duration
+}
+
+// DefaultExchangeConfig returns the periods used by the daemon.
+func DefaultExchangeConfig(prefixes ...string) ExchangeConfig {
+	return ExchangeConfig{
+		Prefixes:      prefixes,
+		Fanout:        3,
+		Rounds:        3,
+		FetchTimeout:  300 * dfuclock.Millisecond,
+		TransferBytes: 1 << 20,
+		SettlePeriod:  500 * dfuclock.Millisecond,
+		SettleAcross:  3 * dfuclock.Second,
+		ComparePeriod: dfuclock.Second,
+		QuietPeriod:   10 * dfuclock.Second,
+		ReadSpread:    500 * dfuclock.Millisecond,
+	}
+}
+
+// ExchangeCounts tells how often something noteworthy happened.
+type ExchangeCounts struct {
+	// Fetches were asked of peers after an advert.
+	Fetches uint64 `json:"fetches"`
+	// Compares were begun because digests differed.
+	Compares uint64 `json:"compares"`
+	// Reads of the store were asked for because the copy was too old.
+	Reads uint64 `json:"reads"`
+}
+
+// Exchange keeps the set of one node in step with the store and its peers. A
+// few nodes of each zone watch the store; a change runs from them along the
+// fingers as an advert, and each node fetches the record once. It belongs to
+// one goroutine.
+type Exchange struct {
+	set    *Set
+	cfg    ExchangeConfig
+	rng    *rand.Rand
+	self   Peer
+	counts ExchangeCounts
+
+	peers PeersChanged
+	// adverts counts the rounds left for each changed key.
+	adverts map[string]int
+	// fetching holds until when a fetch of a key is waited for.
+	fetching map[string]dfuclock.Time
+	// confirmed holds when the store last confirmed each prefix.
+	confirmed map[string]dfuclock.Time
+	synced    bool
+	changedAt dfuclock.Time
+	compareAt dfuclock.Time
+	readAt    dfuclock.Time
+	actions   []Action
+	changed   []string
+}
+
+// NewExchange returns the exchange of a node that has no peers yet.
+func NewExchange(self Peer, set *Set, cfg ExchangeConfig, rng *rand.Rand) *Exchange {
+	return &Exchange{
+		set:       set,
+		cfg:       cfg,
+		rng:       rng,
+		self:      self,
+		adverts:   make(map[string]int),
+		fetching:  make(map[string]dfuclock.Time),
+		confirmed: make(map[string]dfuclock.Time),
+	}
+}
+
+// Step takes one event and returns what is to be done about it.
+func (x *Exchange) Step(now dfuclock.Time, event Event) []Action {
+	x.actions, x.changed = nil, nil
+	switch e := event.(type) {
+	case Tick:
+		x.tick(now)
+	case Received:
+		x.receive(now, e.Message)
+	case StoreAnswered:
+		x.takeAnswer(now, e)
+	case PeersChanged:
+		x.changePeers(now, e)
+	}
+	if len(x.changed) > 0 {
+		x.changedAt = now
+		x.do(Changed{Keys: x.changed})
+		x.advertise()
+	}
+	return x.actions
+}
+
+// Set returns the records. They are altered only by Step.
+func (x *Exchange) Set() *Set {
+	return x.set
+}
+
+// Synced reports whether the whole copy of the store or of a peer has been
+// taken over once.
+func (x *Exchange) Synced() bool {
+	return x.synced
+}
+
+// Watcher reports whether the node is to watch the store.
+func (x *Exchange) Watcher() bool {
+	return x.peers.Watcher
+}
+
+// Counts returns what has been counted since NewExchange.
+func (x *Exchange) Counts() ExchangeCounts {
+	return x.counts
+}
+
+// Standing returns the copy's digest and age, for a message to a peer.
+func (x *Exchange) Standing(now dfuclock.Time) Standing {
+	s := Standing{Digest: x.set.Digest()}
+	if at, ok := x.confirmedAt(); ok {
+		s.Confirmed = true
+		s.Age = now.Sub(at)
+	}
+	return s
+}
+
+// confirmedAt returns the time as of which the whole copy is known to have
+// been the store's.
+func (x *Exchange) confirmedAt() (dfuclock.Time, bool) {
+	var oldest dfuclock.Time
+	for i, prefix := range x.cfg.Prefixes {
+		at, ok := x.confirmed[prefix]
+		if !ok {
+			return 0, false
+		}
+		if i == 0 || at.Before(oldest) {
+			oldest = at
+		}
+	}
+	return oldest, true
+}
+
+// tick advertises again what is new, and reads the store if it is long since
+// anybody confirmed the copy.
+func (x *Exchange) tick(now dfuclock.Time) {
+	x.advertise()
+	for key, until := range x.fetching {
+		if !now.Before(until) {
+			delete(x.fetching, key)
+		}
+	}
+	x.stepRead(now)
+}
+
+// stepRead asks for a read some time after the copy has become too old, since
+// all other nodes of the zone find theirs too old as well.
+func (x *Exchange) stepRead(now dfuclock.Time) {
+	if x.peers.Watcher || !x.quiet(now) {
+		x.readAt = 0
+		return
+	}
+	due := x.readAt != 0 && !now.Before(x.readAt)
+	if due {
+		x.counts.Reads++
+		x.do(Read{})
+	}
+	if due || x.readAt == 0 {
+		x.readAt = now.Add(x.jitter(x.readSpread()))
+	}
+}
+
+func (x *Exchange) quiet(now dfuclock.Time) bool {
+	at, ok := x.confirmedAt()
+	return !ok || now.Sub(at) > x.cfg.QuietPeriod
+}
+
+func (x *Exchange) readSpread() dfuclock.Duration {
+	return x.cfg.QuietPeriod/2 + x.cfg.ReadSpread*dfuclock.Duration(x.peers.ZoneSize)
+}
+
+// takeAnswer merges what the store returned. An answer from a replica that is
+// behind the copy confirms nothing.
+func (x *Exchange) takeAnswer(now dfuclock.Time, e StoreAnswered) {
+	behind := e.Revision < x.set.Greatest(e.Prefix)
+	if e.Listed {
+		for _, r := range x.set.MergeList(e.Prefix, e.Records, e.Revision) {
+			x.note(r.Key)
+		}
+	} else {
+		for _, r := range e.Records {
+			if x.set.MergeFromStore(r).Changed() {
+				x.note(r.Key)
+			}
+		}
+	}
+	if behind {
+		return
+	}
+	x.confirmed[e.Prefix] = now
+	if _, ok := x.confirmedAt(); ok {
+		x.synced = true
+	}
+}
+
+// changePeers takes new peers. A node without a copy asks some of them at once.
+func (x *Exchange) changePeers(now dfuclock.Time, e PeersChanged) {
+	x.peers = e
+	if !x.synced && !now.Before(x.compareAt) {
+		for _, p := range x.pickFingers(2) {
+			x.compare(now, p)
+		}
+	}
+}
+
+func (x *Exchange) receive(now dfuclock.Time, msg Message) {
+	switch msg.Kind {
+	case Advert:
+		x.fetch(now, msg.From, x.newerIn(msg.Summaries))
+	case Fetch:
+		x.transfer(msg.From, msg.Keys)
+	case Transfer:
+		x.take(now, msg)
+	case CompareRequest:
+		x.do(Send{To: msg.From, Message: Message{
+			Kind: CompareReply, From: x.self,
+			Buckets: x.set.Buckets(), Summaries: x.set.Summaries(msg.Buckets),
+			Standing: x.Standing(now),
+		}})
+	case CompareReply:
+		x.finishCompare(now, msg)
+	case Confirm:
+		x.takeStanding(now, msg)
+	}
+}
+
+// takeStanding takes over the age of an equal copy, and compares with one that
+// has been different for longer than news takes to arrive.
+func (x *Exchange) takeStanding(now dfuclock.Time, msg Message) {
+	if msg.Standing.Digest == x.set.Digest() {
+		x.confirmFrom(now, msg.Standing)
+		return
+	}
+	settle := x.cfg.SettlePeriod
+	if msg.From.Region != x.self.Region {
+		settle = x.cfg.SettleAcross
+	}
+	if now.Before(x.compareAt) || (x.synced && now.Sub(x.changedAt) < settle) {
+		return
+	}
+	x.compare(now, msg.From)
+}
+
+// confirmFrom takes over what a peer with the same copy knows of its age.
+func (x *Exchange) confirmFrom(now dfuclock.Time, s Standing) {
+	if !s.Confirmed {
+		return
+	}
+	x.synced = true
+	at := now.Add(-s.Age)
+	for _, prefix := range x.cfg.Prefixes {
+		if old, ok := x.confirmed[prefix]; !ok || old.Before(at) {
+			x.confirmed[prefix] = at
+		}
+	}
+}
+
+func (x *Exchange) compare(now dfuclock.Time, with Peer) {
+	x.counts.Compares++
+	x.compareAt = now.Add(x.cfg.ComparePeriod)
+	x.do(Send{To: with, Message: Message{Kind: CompareRequest, From: x.self, Buckets: x.set.Buckets()}})
+}
+
+func (x *Exchange) finishCompare(now dfuclock.Time, msg Message) {
+	wanted, newer := x.set.Compare(msg.Buckets, msg.Summaries)
+	x.fetch(now, msg.From, wanted)
+	if len(newer) > 0 {
+		x.transfer(msg.From, newer)
+	}
+	if len(wanted) == 0 && len(newer) == 0 {
+		x.confirmFrom(now, msg.Standing)
+	}
+}
+
+func (x *Exchange) newerIn(summaries []Summary) []string {
+	var keys []string
+	for _, s := range summaries {
+		ours := x.set.Revisions(s.Key)
+		if s.Noted > ours.Noted || s.InForce > ours.InForce {
+			keys = append(keys, s.Key)
+		}
+	}
+	return keys
+}
+
+// fetch asks a peer for keys that aren't being fetched yet.
+func (x *Exchange) fetch(now dfuclock.Time, from Peer, keys []string) {
+	var asked []string
+	for _, key := range keys {
+		if _, ok := x.fetching[key]; !ok && len(x.fetching) < x.set.limits.Keys {
+			x.fetching[key] = now.Add(x.cfg.FetchTimeout)
+			asked = append(asked, key)
+		}
+	}
+	if len(asked) > 0 {
+		x.counts.Fetches++
+		x.do(Send{To: from, Message: Message{Kind: Fetch, From: x.self, Keys: asked}})
+	}
+}
+
+func (x *Exchange) transfer(to Peer, keys []string) {
+	records := x.set.Records(keys, x.cfg.TransferBytes)
+	if len(records) > 0 {
+		x.do(Send{To: to, Message: Message{Kind: Transfer, From: x.self, Records: records}})
+	}
+}
+
+// take merges what a peer sent. A node that takes over its first copy asks for
+// more until nothing differs.
+func (x *Exchange) take(now dfuclock.Time, msg Message) {
+	for _, r := range msg.Records {
+		delete(x.fetching, r.Key)
+		if x.set.MergeFromPeer(r).Changed() {
+			x.note(r.Key)
+		}
+	}
+	if !x.synced && len(x.changed) > 0 {
+		x.compare(now, msg.From)
+	}
+}
+
+// note marks a key as changed and to be advertised. A node that takes over its
+// first copy tells nobody what everybody knows.
+func (x *Exchange) note(key string) {
+	if !slices.Contains(x.changed, key) {
+		x.changed = append(x.changed, key)
+	}
+	if x.synced {
+		x.adverts[key] = x.cfg.Rounds
+	}
+}
+
+// advertise sends one round of adverts.
+func (x *Exchange) advertise() {
+	if len(x.adverts) == 0 {
+		return
+	}
+	summaries := make([]Summary, 0, len(x.adverts))
+	for key, rounds := range x.adverts {
+		summaries = append(summaries, x.set.Revisions(key))
+		if rounds <= 1 {
+			delete(x.adverts, key)
+		} else {
+			x.adverts[key] = rounds - 1
+		}
+	}
+	sortSummaries(summaries)
+	for _, p := range x.pickFingers(x.cfg.Fanout) {
+		x.do(Send{To: p, Message: Message{Kind: Advert, From: x.self, Summaries: summaries}})
+	}
+}
+
+func (x *Exchange) pickFingers(n int) []Peer {
+	if len(x.peers.Fingers) <= n {
+		return x.peers.Fingers
+	}
+	picked := make([]Peer, 0, n)
+	for len(picked) < n {
+		if p := x.peers.Fingers[x.rng.IntN(len(x.peers.Fingers))]; !slices.Contains(picked, p) {
+			picked = append(picked, p)
+		}
+	}
+	return picked
+}
+
+func (x *Exchange) do(a Action) {
+	x.actions = append(x.actions, a)
+}
+
+func (x *Exchange) jitter(d dfuclock.Duration) dfuclock.Duration {
+	return dfuclock.Duration(x.rng.Int64N(int64(d) + 1))
+}
--- a/io/process/dfucontrol/duty.go
+++ b/io/process/dfucontrol/duty.go
@@ -27,7 +27,9 @@
 	inbox  *dfuring.Ring[input]
 	outbox *dfuring.Ring[outgoing]
 	// announced wakes the owner when announcement was replaced.
-	announced    chan struct{}
+	announced chan struct{}
+	// reads asks for one list of every prefix.
+	reads        chan struct{}
 	announcement atomic.Pointer[Announcement]
 
 	member      atomic.Pointer[dfuident.Member]
@@ -35,6 +37,7 @@
 	status      atomic.Pointer[Status]
 	storeError  atomic.Pointer[string]
 	bridge      atomic.Bool
+	watcher     atomic.Bool
 	superseded  atomic.Bool
 	failedCalls atomic.Uint64
 
@@ -54,20 +57,15 @@
 	answer chan Packet
 }
 
-// recordsInput is what the store returned for a prefix.
-type recordsInput struct {
-	prefix   string
-	listed   bool
-	records  []dfurecord.Record
-	revision dfuident.Revision
-}
+// storeInput is what the store returned for a prefix.
+type storeInput struct{ answer dfurecord.StoreAnswered }
 
 // seedsInput tells whom the zone pages list.
 type seedsInput struct{ contacts []dfumembership.Contact }
 
-func (packetInput) input()  {}
-func (recordsInput) input() {}
-func (seedsInput) input()   {}
+func (packetInput) input() {}
+func (storeInput) input()  {}
+func (seedsInput) input()  {}
 
 // New returns a duty that knows nothing yet.
 func New(cfg Config, deps Deps) *Duty {
@@ -77,6 +75,7 @@
 		inbox:     dfuring.New[input](cfg.RingSize),
 		outbox:    dfuring.New[outgoing](cfg.RingSize),
 		announced: make(chan struct{}, 1),
+		reads:     make(chan struct{}, 1),
 		rand:      deps.Rand,
 	}
 	d.view.Store(dfuroster.New())
@@ -126,8 +125,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = d.keepPage(ctx, len(contacts)) })
-	wg.Go(func() { _ = d.watch(ctx, dfustore.CataloguePrefix) })
-	wg.Go(func() { _ = d.watch(ctx, dfustore.ClaimsPrefix) })
+	wg.Go(func() { _ = d.read(ctx) })
+	for _, prefix := range prefixes() {
+		wg.Go(func() { _ = d.watch(ctx, prefix) })
+	}
 	for range d.cfg.Senders {
 		wg.Go(func() { _ = d.send(ctx) })
 	}
@@ -138,6 +139,11 @@
 	return err
 }
 
+// prefixes returns the keys that every node holds.
+func prefixes() []string {
+	return []string{dfustore.CataloguePrefix, dfustore.ClaimsPrefix}
+}
+
 // checkValue keeps an invalid catalogue entry from coming into force.
 func checkValue(key string, value []byte) error {
 	if _, ok := serviceOf(key, dfustore.CataloguePrefix); !ok {
--- a/io/process/dfucontrol/owner.go
+++ b/io/process/dfucontrol/owner.go
@@ -20,21 +20,25 @@
 type owner struct {
 	duty       *Duty
 	membership *dfumembership.Machine
-	records    *dfurecord.Set
+	exchange   *dfurecord.Exchange
 	view       *dfuroster.View
 	// updates is what membership last said of each node in the view.
 	updates     map[dfuident.NodeID]dfumembership.Update
 	unreachable map[dfuident.Region]bool
 	change      dfuroster.Change
-	// listed holds the prefixes of which the whole list has been merged.
-	listed map[string]bool
+	// peersStale says that the exchange's peers may have changed.
+	peersStale bool
 	// statusAt is when the status is next made, unless it is stale before.
 	statusAt    dfuclock.Time
 	statusStale bool
 }
 
-// statusPeriod is the time between two statuses while nothing changes.
-const statusPeriod = dfuclock.Second
+const (
+	// statusPeriod is the time between two statuses while nothing changes.
+	statusPeriod = dfuclock.Second
+	// watchersPerZone is the number of nodes that watch the store in a zone.
+	watchersPerZone = 2
+)
 
 func newOwner(d *Duty, member dfuident.Member) *owner {
 	self := dfumembership.Self{
@@ -42,13 +46,17 @@
 	}
 	rng := rand.New(rand.NewPCG(uint64(d.jitter(1<<50)), uint64(member.Incarnation)))
 	o := &owner{
-		duty:        d,
-		membership:  dfumembership.New(self, d.cfg.Membership, rng),
-		records:     dfurecord.New(dfurecord.DefaultLimits(), checkValue),
+		duty:       d,
+		membership: dfumembership.New(self, d.cfg.Membership, rng),
+		exchange: dfurecord.NewExchange(
+			dfurecord.Peer{Node: member.Node, Region: d.cfg.Place.Region, Address: d.cfg.Peer},
+			dfurecord.New(dfurecord.DefaultLimits(), checkValue),
+			dfurecord.DefaultExchangeConfig(prefixes()...), rng,
+		),
 		view:        d.View(),
 		updates:     make(map[dfuident.NodeID]dfumembership.Update),
 		unreachable: make(map[dfuident.Region]bool),
-		listed:      make(map[string]bool),
+		peersStale:  true,
 	}
 	o.takeUpdate(o.membership.Self())
 	o.publish()
@@ -64,7 +72,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
-			o.step(dfumembership.Tick{}, nil)
+			o.tick()
 		case <-o.duty.announced:
 			o.announce()
 		case in := <-o.duty.inbox.Items():
@@ -74,13 +82,41 @@
 	}
 }
 
+func (o *owner) tick() {
+	o.stepMembership(dfumembership.Tick{}, nil)
+	if o.peersStale {
+		o.changePeers()
+	}
+	o.stepExchange(dfurecord.Tick{}, nil)
+}
+
+// changePeers tells the exchange whom the membership has it talk to. A node
+// takes on the watch only once it knows who else is there.
+func (o *owner) changePeers() {
+	rank, size := o.membership.ZoneRank()
+	e := dfurecord.PeersChanged{
+		ZoneSize: size,
+		Watcher:  rank < watchersPerZone && o.membership.Joined(),
+	}
+	for _, c := range o.membership.Fingers() {
+		e.Fingers = append(e.Fingers, peerOf(c))
+	}
+	o.peersStale = !o.membership.Joined()
+	o.stepExchange(e, nil)
+	o.duty.watcher.Store(e.Watcher)
+}
+
+func peerOf(c dfumembership.Contact) dfurecord.Peer {
+	return dfurecord.Peer{Node: c.Member.Node, Region: c.Region, Address: c.Address}
+}
+
 func (o *owner) seed(contacts []dfumembership.Contact) {
-	o.step(dfumembership.Seeded{Contacts: contacts}, nil)
+	o.stepMembership(dfumembership.Seeded{Contacts: contacts}, nil)
 }
 
 func (o *owner) announce() {
 	if a := o.duty.announcement.Load(); a != nil {
-		o.step(dfumembership.Announced{Target: a.Target, Left: a.Left}, nil)
+		o.stepMembership(dfumembership.Announced{Target: a.Target, Left: a.Left}, nil)
 	}
 }
 
@@ -88,8 +124,8 @@
 	switch in := in.(type) {
 	case packetInput:
 		o.receive(in)
-	case recordsInput:
-		o.mergeStore(in)
+	case storeInput:
+		o.stepExchange(in.answer, nil)
 	case seedsInput:
 		o.seed(in.contacts)
 	}
@@ -99,32 +135,44 @@
 // is the direct answer to its call.
 func (o *owner) receive(in packetInput) {
 	var answer Packet
+	var from dfuident.Address
 	if msg := in.packet.Membership; msg != nil {
-		answer.Membership = o.step(dfumembership.Received{Message: *msg}, &msg.From)
+		from = msg.From.Address
+		o.takeStanding(in.packet)
+		o.stepMembership(dfumembership.Received{Message: *msg}, &answer)
+	}
+	if msg := in.packet.Records; msg != nil {
+		from = msg.From.Address
+		o.stepExchange(dfurecord.Received{Message: *msg}, &answer)
 	}
 	if in.answer != nil {
 		in.answer <- answer
-	} else if answer.Membership != nil {
-		o.send(in.packet.Membership.From, *answer.Membership)
+	} else if !answer.isEmpty() {
+		o.send(from, answer)
+	}
+}
+
+// takeStanding passes on the standing that rides on a probe or its answer.
+func (o *owner) takeStanding(p Packet) {
+	if p.Standing != nil {
+		o.stepExchange(dfurecord.Received{Message: dfurecord.Message{
+			Kind: dfurecord.Confirm, From: peerOf(p.Membership.From), Standing: *p.Standing,
+		}}, nil)
 	}
 }
 
-// step steps the membership. Of what it sends to the member from, the first
-// message that answers is returned rather than sent.
-func (o *owner) step(event dfumembership.Event, from *dfumembership.Contact) *dfumembership.Message {
-	var answer *dfumembership.Message
+// stepMembership steps the membership. An answer to the event's message goes
+// into the packet, unless that is nil or already holds one.
+func (o *owner) stepMembership(event dfumembership.Event, answer *Packet) {
 	for _, action := range o.membership.Step(o.duty.deps.Clock.Now(), event) {
 		switch a := action.(type) {
 		case dfumembership.Send:
-			if from != nil && answer == nil && a.To == *from && isAnswer(a.Message) {
-				answer = &a.Message
-			} else {
-				o.send(a.To, a.Message)
-			}
+			o.sendMembership(a, answer)
 		case dfumembership.Changed:
 			for _, u := range a.Updates {
 				o.takeUpdate(u)
 			}
+			o.peersStale = true
 		case dfumembership.Forgotten:
 			for _, id := range a.Nodes {
 				delete(o.updates, id)
@@ -133,19 +181,60 @@
 		case dfumembership.RegionChanged:
 			o.changeRegion(a.Status)
 		case dfumembership.Superseded:
-			o.duty.deps.Log.Error("a later run of this node lives", zap.Stringer("member", a.By))
-			o.duty.superseded.Store(true)
+			if !o.duty.superseded.Swap(true) {
+				o.duty.deps.Log.Error("a later run of this node lives", zap.Stringer("member", a.By))
+			}
 		}
 	}
-	return answer
 }
 
-func isAnswer(msg dfumembership.Message) bool {
-	return msg.Kind == dfumembership.Ack || msg.Kind == dfumembership.SyncReply
+func (o *owner) sendMembership(a dfumembership.Send, answer *Packet) {
+	p := Packet{Membership: &a.Message}
+	if a.Message.Kind == dfumembership.Ping || a.Message.Kind == dfumembership.Ack {
+		standing := o.exchange.Standing(o.duty.deps.Clock.Now())
+		p.Standing = &standing
+	}
+	isAnswer := a.Message.Kind == dfumembership.Ack || a.Message.Kind == dfumembership.SyncReply
+	if answer != nil && answer.Membership == nil && isAnswer {
+		answer.Membership, answer.Standing = p.Membership, p.Standing
+		return
+	}
+	o.send(a.To.Address, p)
 }
 
-func (o *owner) send(to dfumembership.Contact, msg dfumembership.Message) {
-	o.duty.outbox.Offer(outgoing{to: to, packet: Packet{Membership: &msg}})
+// stepExchange steps the exchange of records. Its first message to the sender
+// goes into the packet, unless that is nil.
+func (o *owner) stepExchange(event dfurecord.Event, answer *Packet) {
+	for _, action := range o.exchange.Step(o.duty.deps.Clock.Now(), event) {
+		switch a := action.(type) {
+		case dfurecord.Send:
+			if answer != nil && answer.Records == nil && isReply(event, a) {
+				answer.Records = &a.Message
+			} else {
+				o.send(a.To.Address, Packet{Records: &a.Message})
+			}
+		case dfurecord.Changed:
+			for _, key := range a.Keys {
+				o.takeRecord(key)
+			}
+			o.statusStale = true
+		case dfurecord.Read:
+			select {
+			case o.duty.reads <- struct{}{}:
+			default:
+			}
+		}
+	}
+}
+
+// isReply reports whether a message goes back to the sender of the event's.
+func isReply(event dfurecord.Event, a dfurecord.Send) bool {
+	received, ok := event.(dfurecord.Received)
+	return ok && received.Message.From == a.To
+}
+
+func (o *owner) send(to dfuident.Address, p Packet) {
+	o.duty.outbox.Offer(outgoing{to: to, packet: p})
 }
 
 // takeUpdate brings a member's state into the next view.
@@ -227,23 +316,6 @@
 	}
 }
 
-// mergeStore merges what the store returned.
-func (o *owner) mergeStore(in recordsInput) {
-	changed := in.records
-	if in.listed {
-		changed = o.records.MergeList(in.prefix, in.records, in.revision)
-		o.listed[in.prefix] = true
-	} else {
-		for _, r := range in.records {
-			o.records.MergeFromStore(r)
-		}
-	}
-	for _, r := range changed {
-		o.takeRecord(r.Key)
-	}
-	o.statusStale = o.statusStale || in.listed || len(changed) > 0
-}
-
 // takeRecord brings the record in force under a key into the next view.
 func (o *owner) takeRecord(key string) {
 	if s, ok := serviceOf(key, dfustore.CataloguePrefix); ok {
@@ -255,7 +327,7 @@
 
 func (o *owner) takeEntry(s dfuident.Service, key string) {
 	var entry *dfuroster.Entry
-	if r, ok := o.records.Get(key); ok {
+	if r, ok := o.exchange.Set().Get(key); ok {
 		stored, err := dfucatalogue.DecodeStored(r.Value)
 		if err == nil && !stored.Deleted {
 			entry = &dfuroster.Entry{Entry: stored.Entry, Revision: r.Revision}
@@ -274,7 +346,7 @@
 
 func (o *owner) takeClaims(s dfuident.Service, key string) {
 	var claims *dfuroster.Claims
-	if r, ok := o.records.Get(key); ok {
+	if r, ok := o.exchange.Set().Get(key); ok {
 		claims = &dfuroster.Claims{Value: r.Value, Revision: r.Revision}
 	}
 	if o.change.Claims == nil {
--- a/io/process/dfucontrol/page.go
+++ b/io/process/dfucontrol/page.go
@@ -39,7 +39,7 @@
 func (d *Duty) join(ctx context.Context) (dfuident.Incarnation, []dfumembership.Contact, error) {
 	wait := d.newBackoff()
 	for {
-		nodes, err := d.readPages(ctx)
+		nodes, err := d.findPeers(ctx)
 		if err == nil {
 			return d.nextIncarnation(nodes), d.contacts(nodes), nil
 		}
@@ -50,6 +50,32 @@
 	}
 }
 
+// findPeers reads the page of the node's own zone. Only a node that finds no
+// other there reads those of its region and then all: many start at once, and
+// the store may be in another region.
+func (d *Duty) findPeers(ctx context.Context) ([]pageNode, error) {
+	prefixes := []string{
+		dfustore.ZoneKey(d.cfg.Place),
+		dfustore.ZonePrefix + string(d.cfg.Place.Region) + "/",
+		dfustore.ZonePrefix,
+	}
+	var nodes []pageNode
+	for _, prefix := range prefixes {
+		var err error
+		if nodes, err = d.readPages(ctx, prefix); err != nil {
+			return nil, err
+		}
+		if d.listsOthers(nodes) {
+			break
+		}
+	}
+	return nodes, nil
+}
+
+func (d *Duty) listsOthers(nodes []pageNode) bool {
+	return slices.ContainsFunc(nodes, func(n pageNode) bool { return n.Node != d.cfg.Node })
+}
+
 func (d *Duty) nextIncarnation(nodes []pageNode) dfuident.Incarnation {
 	incarnation := dfuident.Incarnation(d.deps.Wall().UnixMilli())
 	for _, n := range nodes {
@@ -72,10 +98,10 @@
 	return contacts
 }
 
-// readPages returns the nodes of all pages. A page that can't be decoded is
-// reported and left out.
-func (d *Duty) readPages(ctx context.Context) ([]pageNode, error) {
-	records, _, err := d.deps.Store.List(ctx, dfustore.ZonePrefix)
+// readPages returns the nodes of the pages under a prefix. A page that can't
+// be decoded is reported and left out.
+func (d *Duty) readPages(ctx context.Context, prefix string) ([]pageNode, error) {
+	records, _, err := d.deps.Store.List(ctx, prefix)
 	if err != nil {
 		return nil, err
 	}
@@ -117,25 +143,32 @@
 		return err
 	}
 	d.deps.Log.Info("on the zone page", zap.Stringer("member", d.Member()))
+	// Of two nodes that start together, the later writer sees the other.
+	if d.bridge.Load() {
+		d.readSeeds(ctx)
+	}
 	for {
 		if err := sleep(ctx, d.cfg.PagePeriod/2+d.jitter(d.cfg.PagePeriod)); err != nil {
 			return err
 		}
-		if !d.bridge.Load() {
-			continue
-		}
-		nodes, err := d.readPages(ctx)
-		if err != nil {
-			d.storeFailed("read zone pages", err)
-			continue
-		}
-		d.inbox.Offer(seedsInput{contacts: d.contacts(nodes)})
-		if _, err := d.writePage(ctx); err != nil {
-			d.storeFailed("write zone page", err)
+		if d.bridge.Load() && d.readSeeds(ctx) {
+			if _, err := d.writePage(ctx); err != nil {
+				d.storeFailed("write zone page", err)
+			}
 		}
 	}
 }
 
+// readSeeds tells the membership whom the pages list, if the store answers.
+func (d *Duty) readSeeds(ctx context.Context) bool {
+	nodes, err := d.readPages(ctx, dfustore.ZonePrefix)
+	if err != nil {
+		d.storeFailed("read zone pages", err)
+		return false
+	}
+	return d.inbox.Offer(seedsInput{contacts: d.contacts(nodes)})
+}
+
 func (d *Duty) untilWritten(ctx context.Context) error {
 	wait := d.newBackoff()
 	for {
@@ -168,6 +201,7 @@
 	}
 	next := mergePage(page, d.View(), d.cfg.Place)
 	if slices.Equal(page, next) {
+		d.inbox.Offer(seedsInput{contacts: d.contacts(page)})
 		return true, nil
 	}
 	value, err := json.Marshal(next)
@@ -178,8 +212,11 @@
 	if !record.Exists() {
 		expect = 0
 	}
-	_, err = d.deps.Store.CompareAndSwap(ctx, key, expect, value, 0)
-	return err == nil, err
+	if _, err = d.deps.Store.CompareAndSwap(ctx, key, expect, value, 0); err != nil {
+		return false, err
+	}
+	d.inbox.Offer(seedsInput{contacts: d.contacts(next)})
+	return true, nil
 }
 
 // mergePage returns the page with the view's live members of the zone at their
--- a/io/process/dfucontrol/receiver.go
+++ b/io/process/dfucontrol/receiver.go
@@ -4,7 +4,9 @@
 	"context"
 	"time"
 
+	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/process/dfumembership"
+	"dragonflyusher/core/version/dfurecord"
 
 	"github.com/cockroachdb/errors"
 )
@@ -15,9 +17,17 @@
 // deliverMethod is the method by which nodes send each other packets.
 const deliverMethod = ReceiverName + ".Deliver"
 
-// Packet is what nodes send each other. Either part may be nil.
+// Packet is what nodes send each other. Each part may be nil.
 type Packet struct {
 	Membership *dfumembership.Message `json:"membership,omitempty"`
+	// Standing rides on probes and their answers.
+	Standing *dfurecord.Standing `json:"standing,omitempty"`
+	Records  *dfurecord.Message  `json:"records,omitempty"`
+}
+
+// isEmpty reports whether there is nothing to send.
+func (p Packet) isEmpty() bool {
+	return p.Membership == nil && p.Records == nil
 }
 
 // Receiver takes packets from other nodes, in the form that net/rpc wants.
@@ -51,7 +61,7 @@
 
 // outgoing is one packet on its way to a member.
 type outgoing struct {
-	to     dfumembership.Contact
+	to     dfuident.Address
 	packet Packet
 }
 
@@ -71,11 +81,11 @@
 	ctx, cancel := context.WithTimeout(ctx, d.cfg.CallTimeout.Std())
 	defer cancel()
 	var answer Packet
-	if err := d.deps.Caller.Call(ctx, out.to.Address, deliverMethod, &out.packet, &answer); err != nil {
+	if err := d.deps.Caller.Call(ctx, out.to, deliverMethod, &out.packet, &answer); err != nil {
 		d.failedCalls.Add(1)
 		return
 	}
-	if answer.Membership != nil {
+	if !answer.isEmpty() {
 		d.inbox.Offer(packetInput{packet: answer})
 	}
 }
--- a/io/process/dfucontrol/status.go
+++ b/io/process/dfucontrol/status.go
@@ -1,6 +1,7 @@
 package dfucontrol
 
 import (
+	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/process/dfumembership"
 	"dragonflyusher/core/version/dfurecord"
@@ -21,12 +22,19 @@
 	// StoreError is the last failure of the store, empty once it answers.
 	StoreError string `json:"store_error,omitempty"`
 	// Superseded reports that a later run of this node lives.
-	Superseded    bool                    `json:"superseded,omitempty"`
-	States        map[dfuroster.State]int `json:"states"`
-	Membership    dfumembership.Counts    `json:"membership"`
-	InboxRefused  uint64                  `json:"inbox_refused"`
-	OutboxRefused uint64                  `json:"outbox_refused"`
-	FailedCalls   uint64                  `json:"failed_calls"`
+	Superseded bool                    `json:"superseded,omitempty"`
+	States     map[dfuroster.State]int `json:"states"`
+	// Confirmed and Age say how long ago the store confirmed the records.
+	Confirmed bool              `json:"confirmed"`
+	Age       dfuclock.Duration `json:"age_ms"`
+	// Watcher and Bridge are the node's roles in its zone.
+	Watcher       bool                     `json:"watcher"`
+	Bridge        bool                     `json:"bridge"`
+	Membership    dfumembership.Counts     `json:"membership"`
+	Exchange      dfurecord.ExchangeCounts `json:"exchange"`
+	InboxRefused  uint64                   `json:"inbox_refused"`
+	OutboxRefused uint64                   `json:"outbox_refused"`
+	FailedCalls   uint64                   `json:"failed_calls"`
 }
 
 // Status returns the state as of the owner's last step.
@@ -49,12 +57,19 @@
 // status returns the part of the status that only the owner knows. It is made
 // anew only when the view or the records have changed.
 func (o *owner) status() *Status {
+	records := o.exchange.Set()
+	standing := o.exchange.Standing(o.duty.deps.Clock.Now())
 	return &Status{
 		Member:            o.membership.Self().Member,
-		HasCatalogue:      o.listed[dfustore.CataloguePrefix],
-		CatalogueRevision: o.records.Greatest(dfustore.CataloguePrefix),
+		HasCatalogue:      o.exchange.Synced(),
+		CatalogueRevision: records.Greatest(dfustore.CataloguePrefix),
 		ViewVersion:       o.view.Version(),
-		Invalid:           o.records.Invalid(),
+		Invalid:           records.Invalid(),
+		Confirmed:         standing.Confirmed,
+		Age:               standing.Age,
+		Watcher:           o.exchange.Watcher(),
+		Bridge:            o.membership.IsBridge(),
 		Membership:        o.membership.Counts(),
+		Exchange:          o.exchange.Counts(),
 	}
 }
--- a/io/process/dfucontrol/watch.go
+++ b/io/process/dfucontrol/watch.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/version/dfurecord"
 	"dragonflyusher/io/process/dfustore"
 
@@ -19,6 +20,12 @@
 func (d *Duty) watch(ctx context.Context, prefix string) error {
 	wait := d.newBackoff()
 	for {
+		if !d.watcher.Load() {
+			if err := sleep(ctx, d.cfg.Membership.TickPeriod); err != nil {
+				return err
+			}
+			continue
+		}
 		err := d.follow(ctx, prefix, &wait)
 		if ctx.Err() != nil {
 			return ctx.Err()
@@ -32,33 +39,57 @@
 	}
 }
 
-// follow lists once and then watches until the next list is due.
+// follow lists once and then watches until the next list is due or the node is
+// no watcher any more.
 func (d *Duty) follow(ctx context.Context, prefix string, wait *backoff) error {
-	records, revision, err := d.deps.Store.List(ctx, prefix)
+	revision, err := d.list(ctx, prefix)
 	if err != nil {
 		return err
 	}
-	if err := d.deliver(recordsInput{prefix: prefix, listed: true, records: convert(records), revision: revision}); err != nil {
-		return err
-	}
 	wait.reset()
 	relist := d.deps.Clock.Now().Add(d.cfg.ListPeriod + d.jitter(d.cfg.ListPeriod))
-	for d.deps.Clock.Now().Before(relist) {
+	for d.watcher.Load() && d.deps.Clock.Now().Before(relist) {
 		records, next, err := d.deps.Store.Watch(ctx, prefix, revision, d.cfg.WatchWait)
 		if err != nil {
 			return err
 		}
-		if err := d.deliver(recordsInput{prefix: prefix, records: convert(records), revision: next}); err != nil {
+		revision = max(revision, next)
+		answer := dfurecord.StoreAnswered{Prefix: prefix, Records: convert(records), Revision: next}
+		if err := d.deliver(answer); err != nil {
 			return err
 		}
-		revision = max(revision, next)
 	}
 	return nil
 }
 
-func (d *Duty) deliver(in recordsInput) error {
+// read lists every prefix when the owner asks for it.
+func (d *Duty) read(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-d.reads:
+		}
+		for _, prefix := range prefixes() {
+			if _, err := d.list(ctx, prefix); err != nil {
+				d.storeFailed("list "+prefix, err)
+			}
+		}
+	}
+}
+
+func (d *Duty) list(ctx context.Context, prefix string) (dfuident.Revision, error) {
+	records, revision, err := d.deps.Store.List(ctx, prefix)
+	if err != nil {
+		return 0, err
+	}
+	answer := dfurecord.StoreAnswered{Prefix: prefix, Listed: true, Records: convert(records), Revision: revision}
+	return revision, d.deliver(answer)
+}
+
+func (d *Duty) deliver(answer dfurecord.StoreAnswered) error {
 	d.storeAnswered()
-	if !d.inbox.Offer(in) {
+	if !d.inbox.Offer(storeInput{answer: answer}) {
 		return errRingFull
 	}
 	return nil
