io/process/dfunode: play sessions with a fleet of processes

Cause: nothing proved planned stops, outages and bad input between real processes. Ruled out: testscript's background commands, which can't freeze a process or wait for a state.

--- a/io/process/dfunode/admin.go
+++ b/io/process/dfunode/admin.go
@@ -16,11 +16,13 @@
 
 // Status is what GET /dragonflyusher/status answers.
 type Status struct {
-	Node        dfuident.NodeID             `json:"node"`
-	Incarnation dfuident.Incarnation        `json:"incarnation"`
-	Region      dfuident.Region             `json:"region"`
-	Zone        dfuident.Zone               `json:"zone"`
-	Service     dfuident.Service            `json:"service"`
+	Node        dfuident.NodeID      `json:"node"`
+	Incarnation dfuident.Incarnation `json:"incarnation"`
+	Region      dfuident.Region      `json:"region"`
+	Zone        dfuident.Zone        `json:"zone"`
+	Service     dfuident.Service     `json:"service"`
+	// Target is the address of the local target.
+	Target      dfuident.Address            `json:"target"`
 	State       string                      `json:"state"`
 	Draining    bool                        `json:"draining"`
 	Slots       int                         `json:"slots"`
@@ -151,6 +153,7 @@
 	defer s.target.mu.Unlock()
 	if s.target.present {
 		status.Service = s.target.current.Service
+		status.Target = s.target.current.Address
 	}
 }
 
--- /dev/null
+++ b/io/process/dfunode/fleet_test.go
@@ -0,0 +1,532 @@
+package dfunode_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"dragonflyusher/standin/dfucallerstandin"
+	"dragonflyusher/standin/dfutargetstandin"
+
+	"github.com/google/uuid"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+var update = flag.Bool("update", false, "rewrite the transcripts in testdata")
+
+// patience bounds every wait for a state that the system is to reach. It is no
+// bound of a promise: those are decided by the virtual clock of core.
+const patience = 30 * time.Second
+
+// root is the path of the repository from this package.
+const root = "../../.."
+
+// alone lets one fleet run at a time.
+var alone sync.Mutex
+
+// TestFleet plays each script of testdata against a fleet of real processes.
+// Commands append what happened to the file transcript.
+func TestFleet(t *testing.T) {
+	bin := t.TempDir()
+	build := exec.Command("go", "build", "-o", bin, "./cmd/...", "./standin/cmd/...")
+	build.Dir = root
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %s\n%s", err, out)
+	}
+	testscript.Run(t, testscript.Params{
+		Dir:           "testdata",
+		UpdateScripts: *update,
+		Setup:         func(env *testscript.Env) error { return setup(env, bin) },
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"fleet":      func(ts *testscript.TestScript, _ bool, args []string) { of(ts).start(args[0]) },
+			"await":      func(ts *testscript.TestScript, _ bool, args []string) { of(ts).await(args) },
+			"state":      func(ts *testscript.TestScript, _ bool, args []string) { of(ts).state(args[0], args[1]) },
+			"call":       func(ts *testscript.TestScript, _ bool, args []string) { of(ts).call(args) },
+			"background": func(ts *testscript.TestScript, _ bool, args []string) { of(ts).background(args) },
+			"joined":     func(ts *testscript.TestScript, _ bool, _ []string) { of(ts).joined() },
+			"calls":      func(ts *testscript.TestScript, _ bool, args []string) { of(ts).calls(args) },
+			"signal":     func(ts *testscript.TestScript, _ bool, args []string) { of(ts).signal(args[0], args[1:]) },
+			"restart":    func(ts *testscript.TestScript, _ bool, args []string) { of(ts).restart(args) },
+			"store":      func(ts *testscript.TestScript, _ bool, args []string) { of(ts).store(args[0]) },
+			"target":     func(ts *testscript.TestScript, _ bool, args []string) { of(ts).target(args[0], args[1]) },
+			"operator":   func(ts *testscript.TestScript, _ bool, args []string) { of(ts).operator(args) },
+			"refuses":    func(ts *testscript.TestScript, _ bool, args []string) { of(ts).refuses(args) },
+			"daemon":     func(ts *testscript.TestScript, _ bool, args []string) { of(ts).daemon(args) },
+			"effects":    func(ts *testscript.TestScript, _ bool, args []string) { of(ts).countEffects(args) },
+			"audit":      func(ts *testscript.TestScript, _ bool, _ []string) { of(ts).audit() },
+		},
+	})
+}
+
+// fleet is the processes of one script.
+type fleet struct {
+	ts      *testscript.TestScript
+	bin     string
+	dir     string
+	name    string
+	octet   string
+	members []member
+	procs   map[string]*exec.Cmd
+	keys    map[string]string
+	notRun  []string
+	running []chan dfucallerstandin.Summary
+	started []string
+}
+
+type member struct{ node, service, address, slots string }
+
+type fleetKey struct{}
+
+func setup(env *testscript.Env, bin string) error {
+	alone.Lock()
+	f := &fleet{bin: bin, dir: env.WorkDir, procs: map[string]*exec.Cmd{}, keys: map[string]string{}}
+	env.Defer(func() {
+		f.killAll()
+		alone.Unlock()
+	})
+	env.Values[fleetKey{}] = f
+	return nil
+}
+
+func of(ts *testscript.TestScript) *fleet {
+	f := ts.Value(fleetKey{}).(*fleet)
+	f.ts = ts
+	return f
+}
+
+// start starts a deployment of deploy/ on addresses that belong to this test.
+func (f *fleet) start(name string) {
+	f.name = name
+	data, err := os.ReadFile(filepath.Join(root, "deploy", name, "fleet.txt"))
+	f.ts.Check(err)
+	lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+	store := lines[0][strings.LastIndex(lines[0], " ")+1:]
+	f.octet = strings.Split(store, ".")[1]
+	f.run("store", "storestandin", "--listen", f.own(store))
+	for _, line := range lines[1:] {
+		fields := strings.Fields(line)
+		m := member{fields[0], fields[1], f.own(fields[2]), fields[3]}
+		f.members = append(f.members, m)
+		f.startNode(m)
+		f.startTarget(m)
+	}
+}
+
+// own moves an address of the deployment to the range of the tests.
+func (f *fleet) own(text string) string {
+	return strings.ReplaceAll(text, "127."+f.octet+".", "127.1"+f.octet+".")
+}
+
+func (f *fleet) startNode(m member) {
+	data, err := os.ReadFile(filepath.Join(root, "deploy", f.name, "settings", m.node+".json"))
+	f.ts.Check(err)
+	path := filepath.Join(f.dir, m.node+".json")
+	f.ts.Check(os.WriteFile(path, []byte(f.own(string(data))), 0o644))
+	f.run(m.node, "dragonflyusherd", "--settings", path)
+}
+
+func (f *fleet) startTarget(m member) {
+	f.run("target-"+m.node, "targetstandin", "--name", m.node, "--service", m.service,
+		"--node", m.address+":7100", "--slots", m.slots, "--effects", f.effectsPath(m))
+}
+
+func (f *fleet) effectsPath(m member) string {
+	return filepath.Join(f.dir, "effects-"+m.node+".jsonl")
+}
+
+func (f *fleet) run(name, program string, args ...string) {
+	log, err := os.OpenFile(filepath.Join(f.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	f.ts.Check(err)
+	defer log.Close()
+	cmd := exec.Command(filepath.Join(f.bin, program), args...)
+	cmd.Stderr = log
+	f.ts.Check(cmd.Start())
+	f.procs[name] = cmd
+}
+
+func (f *fleet) killAll() {
+	for _, cmd := range f.procs {
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	}
+}
+
+func (f *fleet) say(format string, args ...any) {
+	file, err := os.OpenFile(filepath.Join(f.dir, "transcript"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	f.ts.Check(err)
+	defer file.Close()
+	_, err = fmt.Fprintf(file, format+"\n", args...)
+	f.ts.Check(err)
+}
+
+func (f *fleet) member(node string) member {
+	i := slices.IndexFunc(f.members, func(m member) bool { return m.node == node })
+	if i < 0 {
+		f.ts.Fatalf("no node %s", node)
+	}
+	return f.members[i]
+}
+
+// addresses returns the nodes whose process has not ended.
+func (f *fleet) addresses() []string {
+	var addresses []string
+	for _, m := range f.members {
+		if f.procs[m.node].ProcessState == nil {
+			addresses = append(addresses, m.address+":7100")
+		}
+	}
+	return addresses
+}
+
+// await waits until every node, or those after "at", answers for the services.
+func (f *fleet) await(args []string) {
+	nodes := f.addresses()
+	if i := slices.Index(args, "at"); i >= 0 {
+		nodes = nil
+		for _, node := range args[i+1:] {
+			nodes = append(nodes, f.member(node).address+":7100")
+		}
+		args = args[:i]
+	}
+	f.ts.Check(dfucallerstandin.Wait(dfucallerstandin.Config{
+		Nodes: nodes, Services: args, DeadlineMS: 5000, URI: "/await",
+	}, patience))
+}
+
+// state waits until a node, or all but the killed ones see a node, in a state:
+// "state NODE STATE" asks the node itself, "state NODE/PEER STATE" what NODE
+// believes of PEER.
+func (f *fleet) state(of, want string) {
+	node, peer, _ := strings.Cut(of, "/")
+	deadline := time.Now().Add(patience)
+	got := ""
+	for ; time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if got = f.seen(node, peer); got == want {
+			f.say("%s is %s", of, want)
+			return
+		}
+	}
+	f.ts.Fatalf("%s is %q, not %s", of, got, want)
+}
+
+func (f *fleet) seen(node, peer string) string {
+	if peer == "" {
+		var s struct{ State string }
+		f.get(node, "status", &s)
+		return s.State
+	}
+	var nodes []struct{ Node, State string }
+	f.get(node, "nodes", &nodes)
+	for _, n := range nodes {
+		if n.Node == peer {
+			return n.State
+		}
+	}
+	return "absent"
+}
+
+func (f *fleet) get(node, page string, into any) {
+	resp, err := http.Get("http://" + f.member(node).address + ":7100/dragonflyusher/" + page)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	_ = json.NewDecoder(resp.Body).Decode(into)
+}
+
+// key returns the UUID that a script's name for a key stands for.
+func (f *fleet) key(name string) string {
+	if f.keys[name] == "" {
+		f.keys[name] = uuid.Must(uuid.NewV7()).String()
+	}
+	return f.keys[name]
+}
+
+// call makes one call: "call NODE SERVICE URI [key=NAME] [deadline=MS]
+// [abandon=MS] [header=NAME:VALUE] [body=BYTES]".
+func (f *fleet) call(args []string) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+f.member(args[0]).address+":7100"+args[2], nil)
+	f.ts.Check(err)
+	client := &http.Client{}
+	req.Header.Set("Dragonflyusher-Service", args[1])
+	req.Header.Set("Dragonflyusher-Deadline-Ms", "5000")
+	for _, arg := range args[3:] {
+		name, value, _ := strings.Cut(arg, "=")
+		f.option(client, req, name, value)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		f.say("call %s: no answer", strings.Join(args, " "))
+		return
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	f.ts.Check(err)
+	outcome, reason := resp.Header.Get("Dragonflyusher-Outcome"), resp.Header.Get("Dragonflyusher-Reason")
+	if outcome == "not_run" {
+		f.notRun = append(f.notRun, resp.Header.Get("Dragonflyusher-Request-Id"))
+	}
+	line := strings.TrimSpace(fmt.Sprintf("call %s: %d %s %s", strings.Join(args, " "), resp.StatusCode, outcome, reason))
+	if outcome != "answered" {
+		line += " " + string(bytes.TrimSpace(body))
+	}
+	f.say("%s", line)
+}
+
+func (f *fleet) option(client *http.Client, req *http.Request, name, value string) {
+	switch name {
+	case "key":
+		req.Header.Set("Idempotency-Key", f.key(value))
+	case "deadline":
+		req.Header.Set("Dragonflyusher-Deadline-Ms", value)
+	case "abandon":
+		ms, err := strconv.Atoi(value)
+		f.ts.Check(err)
+		client.Timeout = time.Duration(ms) * time.Millisecond
+	case "header":
+		field, text, _ := strings.Cut(value, ":")
+		req.Header.Set(field, text)
+	case "body":
+		n, err := strconv.Atoi(value)
+		f.ts.Check(err)
+		req.Method = http.MethodPost
+		req.Body = io.NopCloser(bytes.NewReader(make([]byte, n)))
+		req.ContentLength = int64(n)
+	default:
+		f.ts.Fatalf("unknown option %s", name)
+	}
+}
+
+// calls makes calls through every node in turn: "calls SERVICE N [URI]".
+func (f *fleet) calls(args []string) {
+	n, err := strconv.Atoi(args[1])
+	f.ts.Check(err)
+	uri := "/work"
+	if len(args) > 2 {
+		uri = args[2]
+	}
+	s := dfucallerstandin.Run(dfucallerstandin.Config{
+		Nodes: f.addresses(), Services: args[:1], Calls: n, Concurrency: 4, DeadlineMS: 5000, URI: uri,
+	})[0]
+	f.say("calls %s: %v wrong=%d", strings.Join(args, " "), s.Outcomes, s.Wrong)
+}
+
+// background starts calls through one node that go on while the script does:
+// "background NODE SERVICE URI N". It returns once all have begun somewhere.
+func (f *fleet) background(args []string) {
+	n, err := strconv.Atoi(args[3])
+	f.ts.Check(err)
+	begun := f.count(dfutargetstandin.EffectStarted)
+	done := make(chan dfucallerstandin.Summary, 1)
+	cfg := dfucallerstandin.Config{
+		Nodes: []string{f.member(args[0]).address + ":7100"}, Services: args[1:2], Calls: n, Concurrency: n, DeadlineMS: 20000, URI: args[2],
+	}
+	go func() { done <- dfucallerstandin.Run(cfg)[0] }()
+	f.running = append(f.running, done)
+	f.started = append(f.started, strings.Join(args, " "))
+	for deadline := time.Now().Add(patience); f.count(dfutargetstandin.EffectStarted) < begun+n; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			f.ts.Fatalf("the calls in the background did not begin")
+		}
+	}
+}
+
+// joined waits for the calls in the background.
+func (f *fleet) joined() {
+	for i, done := range f.running {
+		s := <-done
+		f.say("background %s: %v wrong=%d", f.started[i], s.Outcomes, s.Wrong)
+	}
+	f.running, f.started = nil, nil
+}
+
+func (f *fleet) count(event dfutargetstandin.EffectEvent) int {
+	n := 0
+	for _, e := range f.effects() {
+		if e.Event == event {
+			n++
+		}
+	}
+	return n
+}
+
+// signal sends a signal to processes and, unless it freezes or wakes them,
+// waits for their end.
+func (f *fleet) signal(name string, procs []string) {
+	signals := map[string]syscall.Signal{"KILL": syscall.SIGKILL, "TERM": syscall.SIGTERM, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}
+	sig, ok := signals[name]
+	if !ok {
+		f.ts.Fatalf("unknown signal %s", name)
+	}
+	for _, proc := range procs {
+		f.ts.Check(f.procs[proc].Process.Signal(sig))
+	}
+	for _, proc := range procs {
+		if sig == syscall.SIGKILL || sig == syscall.SIGTERM {
+			_ = f.procs[proc].Wait()
+			f.say("%s ended: %s", proc, f.procs[proc].ProcessState)
+		}
+	}
+}
+
+func (f *fleet) restart(procs []string) {
+	for _, proc := range procs {
+		if node, ok := strings.CutPrefix(proc, "target-"); ok {
+			f.startTarget(f.member(node))
+		} else {
+			f.startNode(f.member(proc))
+		}
+	}
+}
+
+// store sets the faults of the store.
+func (f *fleet) store(faults string) {
+	f.post("http://127.1"+f.octet+".0.1:7000/admin", faults)
+	f.say("store %s", faults)
+}
+
+// target sets a fault of a target through the address in its output.
+func (f *fleet) target(node, fault string) {
+	var s struct{ Target string }
+	f.get(node, "status", &s)
+	f.post("http://"+s.Target+"/admin/"+fault, "")
+	f.say("target %s %s", node, fault)
+}
+
+func (f *fleet) post(url, body string) {
+	resp, err := http.Post(url, "application/json", strings.NewReader(body))
+	f.ts.Check(err)
+	f.ts.Check(resp.Body.Close())
+}
+
+// operator runs the operators' client with the fleet's store; entries are read
+// from the deployment's catalogue. Change ids differ from run to run, so that
+// the transcript holds the exit status only.
+func (f *fleet) operator(args []string) {
+	f.program("dragonflyusher", append([]string{"--store", "127.1" + f.octet + ".0.1:7000", "--node", f.members[0].address + ":7100"}, args...), args, false)
+}
+
+// refuses runs the node's program, which is to end with a message: "refuses
+// MESSAGE ARGUMENT...".
+func (f *fleet) refuses(args []string) {
+	out, _ := exec.Command(filepath.Join(f.bin, "dragonflyusherd"), args[1:]...).CombinedOutput()
+	if !bytes.Contains(out, []byte(args[0])) {
+		f.ts.Fatalf("no %q in %s", args[0], out)
+	}
+	f.say("dragonflyusherd %s: %s", strings.Join(args[1:], " "), args[0])
+}
+
+// daemon runs the node's program to its end and shows what it says.
+func (f *fleet) daemon(args []string) {
+	f.program("dragonflyusherd", args, args, true)
+}
+
+func (f *fleet) program(name string, args, shown []string, output bool) {
+	catalogue, err := filepath.Abs(filepath.Join(root, "deploy", f.name, "catalogue"))
+	f.ts.Check(err)
+	for i := range args {
+		args[i] = strings.ReplaceAll(args[i], "@", catalogue+"/")
+	}
+	cmd := exec.Command(filepath.Join(f.bin, name), args...)
+	cmd.Dir = f.dir
+	out, err := cmd.CombinedOutput()
+	f.say("%s %s: exit status %d", name, strings.Join(shown, " "), cmd.ProcessState.ExitCode())
+	switch {
+	case output:
+		f.say("%s", bytes.TrimSpace(out))
+	case err != nil:
+		f.ts.Logf("%s", out)
+	}
+}
+
+// countEffects counts the events of a key's runs: "effects EVENT KEY...".
+func (f *fleet) countEffects(args []string) {
+	counts := map[string]int{}
+	for _, e := range f.effects() {
+		if string(e.Event) == args[0] {
+			counts[e.Key]++
+		}
+	}
+	for _, name := range args[1:] {
+		f.say("key %s %s %d times", name, args[0], counts[f.key(name)])
+	}
+}
+
+func (f *fleet) effects() []dfutargetstandin.Effect {
+	var effects []dfutargetstandin.Effect
+	for _, m := range f.members {
+		file, err := os.Open(f.effectsPath(m))
+		if err != nil {
+			continue
+		}
+		scanner := bufio.NewScanner(file)
+		for scanner.Scan() {
+			var e dfutargetstandin.Effect
+			f.ts.Check(json.Unmarshal(scanner.Bytes(), &e))
+			effects = append(effects, e)
+		}
+		f.ts.Check(scanner.Err())
+		file.Close()
+	}
+	return effects
+}
+
+// audit checks what must always hold against all effect logs: no key of a
+// non-idempotent service began twice, no request told not_run ever began.
+func (f *fleet) audit() {
+	keys, ids := map[string]int{}, map[string]bool{}
+	for _, e := range f.effects() {
+		if e.Event != dfutargetstandin.EffectStarted {
+			continue
+		}
+		keys[e.Service+"/"+e.Key]++
+		ids[e.RequestID] = true
+	}
+	for _, id := range f.notRun {
+		if id != "" && ids[id] {
+			f.ts.Fatalf("request %s was told not_run and began", id)
+		}
+	}
+	for _, service := range f.nonIdempotent() {
+		for _, key := range f.keys {
+			if n := keys[service+"/"+key]; n > 1 {
+				f.ts.Fatalf("key %s of %s began %d times", key, service, n)
+			}
+		}
+	}
+	f.say("audit: ok")
+}
+
+func (f *fleet) nonIdempotent() []string {
+	entries, err := filepath.Glob(filepath.Join(root, "deploy", f.name, "catalogue", "*.json"))
+	f.ts.Check(err)
+	var services []string
+	for _, path := range entries {
+		var e struct {
+			Service       string
+			NonIdempotent bool `json:"non_idempotent"`
+		}
+		data, err := os.ReadFile(path)
+		f.ts.Check(err)
+		f.ts.Check(json.Unmarshal(data, &e))
+		if e.NonIdempotent {
+			services = append(services, e.Service)
+		}
+	}
+	return services
+}
