core/version/dfuroster: keep the view in a pure machine

The composition of membership and records lived in the goroutine of dfucontrol, where only real time could exercise it. Keeper does it by Step, so that scripts and measurements run what the daemon runs.

go test -race ./io/process/dfucontrol passes.

--- a/io/process/dfucontrol/duty.go
+++ b/io/process/dfucontrol/duty.go
@@ -9,10 +9,7 @@
 
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
-	"dragonflyusher/core/process/dfumembership"
 	"dragonflyusher/core/process/dfuring"
-	"dragonflyusher/core/version/dfucatalogue"
-	"dragonflyusher/core/version/dfurecord"
 	"dragonflyusher/core/version/dfuroster"
 	"dragonflyusher/io/process/dfustore"
 
@@ -45,28 +42,13 @@
 	rand   *rand.Rand
 }
 
-// input is what the owner of the machines is told.
-//
-//sumtype:decl
-type input interface{ input() }
-
-// packetInput is a packet from a peer. Its direct answer goes to answer, which
-// is nil if the packet itself is an answer.
-type packetInput struct {
-	packet Packet
-	answer chan Packet
+// input is an event for the owner of the keeper. A peer's call waits for
+// answer, which is nil for all else.
+type input struct {
+	event  dfuroster.Event
+	answer chan<- dfuroster.Packet
 }
 
-// storeInput is what the store returned for a prefix.
-type storeInput struct{ answer dfurecord.StoreAnswered }
-
-// seedsInput tells whom the zone pages list.
-type seedsInput struct{ contacts []dfumembership.Contact }
-
-func (packetInput) input() {}
-func (storeInput) input()  {}
-func (seedsInput) input()  {}
-
 // New returns a duty that knows nothing yet.
 func New(cfg Config, deps Deps) *Duty {
 	d := &Duty{
@@ -132,8 +114,7 @@
 	for range d.cfg.Senders {
 		wg.Go(func() { _ = d.send(ctx) })
 	}
-	o.seed(contacts)
-	err = o.run(ctx)
+	err = o.run(ctx, contacts)
 	cancel()
 	wg.Wait()
 	return err
@@ -144,15 +125,6 @@
 	return []string{dfustore.CataloguePrefix, dfustore.ClaimsPrefix}
 }
 
-// checkValue keeps an invalid catalogue entry from coming into force.
-func checkValue(key string, value []byte) error {
-	if _, ok := serviceOf(key, dfustore.CataloguePrefix); !ok {
-		return nil
-	}
-	_, err := dfucatalogue.DecodeStored(value)
-	return err
-}
-
 func (d *Duty) jitter(bound dfuclock.Duration) dfuclock.Duration {
 	d.randMu.Lock()
 	defer d.randMu.Unlock()
--- a/io/process/dfucontrol/duty_test.go
+++ b/io/process/dfucontrol/duty_test.go
@@ -116,7 +116,7 @@
 	if d == nil {
 		return errors.New("connection refused")
 	}
-	return d.Receiver().Deliver(args.(*dfucontrol.Packet), reply.(*dfucontrol.Packet))
+	return d.Receiver().Deliver(args.(*dfuroster.Packet), reply.(*dfuroster.Packet))
 }
 
 // fleet runs duties against one store.
--- a/io/process/dfucontrol/page.go
+++ b/io/process/dfucontrol/page.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"slices"
-	"strings"
 
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
@@ -166,7 +165,7 @@
 		d.storeFailed("read zone pages", err)
 		return false
 	}
-	return d.inbox.Offer(seedsInput{contacts: d.contacts(nodes)})
+	return d.inbox.Offer(input{event: dfuroster.Seeded{Contacts: d.contacts(nodes)}})
 }
 
 func (d *Duty) untilWritten(ctx context.Context) error {
@@ -201,7 +200,7 @@
 	}
 	next := mergePage(page, d.View(), d.cfg.Place)
 	if slices.Equal(page, next) {
-		d.inbox.Offer(seedsInput{contacts: d.contacts(page)})
+		d.inbox.Offer(input{event: dfuroster.Seeded{Contacts: d.contacts(page)}})
 		return true, nil
 	}
 	value, err := json.Marshal(next)
@@ -215,7 +214,7 @@
 	if _, err = d.deps.Store.CompareAndSwap(ctx, key, expect, value, 0); err != nil {
 		return false, err
 	}
-	d.inbox.Offer(seedsInput{contacts: d.contacts(next)})
+	d.inbox.Offer(input{event: dfuroster.Seeded{Contacts: d.contacts(next)}})
 	return true, nil
 }
 
@@ -249,9 +248,3 @@
 	})
 	return next
 }
-
-// serviceOf returns the service that a key under a prefix is of.
-func serviceOf(key, prefix string) (dfuident.Service, bool) {
-	s, ok := strings.CutPrefix(key, prefix)
-	return dfuident.Service(s), ok && s != ""
-}
--- a/io/process/dfucontrol/receiver.go
+++ b/io/process/dfucontrol/receiver.go
@@ -5,8 +5,7 @@
 	"time"
 
 	"dragonflyusher/core/process/dfuident"
-	"dragonflyusher/core/process/dfumembership"
-	"dragonflyusher/core/version/dfurecord"
+	"dragonflyusher/core/version/dfuroster"
 
 	"github.com/cockroachdb/errors"
 )
@@ -17,19 +16,6 @@
 // deliverMethod is the method by which nodes send each other packets.
 const deliverMethod = ReceiverName + ".Deliver"
 
-// Packet is what nodes send each other. Each part may be nil.
-type Packet struct {
-	Membership *dfumembership.Message `json:"membership,omitempty"`
-	// Standing rides on probes and their answers.
-	Standing *dfurecord.Standing `json:"standing,omitempty"`
-	Records  *dfurecord.Message  `json:"records,omitempty"`
-}
-
-// isEmpty reports whether there is nothing to send.
-func (p Packet) isEmpty() bool {
-	return p.Membership == nil && p.Records == nil
-}
-
 // Receiver takes packets from other nodes, in the form that net/rpc wants.
 type Receiver struct {
 	duty *Duty
@@ -40,19 +26,19 @@
 
 // Deliver takes a packet and returns the direct answer to it, which may be
 // empty.
-func (r *Receiver) Deliver(packet *Packet, answer *Packet) error {
+func (r *Receiver) Deliver(packet, answer *dfuroster.Packet) error {
 	d := r.duty
 	if d.Member().IsZero() {
 		return errNotReady
 	}
-	in := packetInput{packet: *packet, answer: make(chan Packet, 1)}
-	if !d.inbox.Offer(in) {
+	reply := make(chan dfuroster.Packet, 1)
+	if !d.inbox.Offer(input{event: dfuroster.Received{Packet: *packet}, answer: reply}) {
 		return errRingFull
 	}
 	timer := time.NewTimer(d.cfg.CallTimeout.Std())
 	defer timer.Stop()
 	select {
-	case *answer = <-in.answer:
+	case *answer = <-reply:
 		return nil
 	case <-timer.C:
 		return context.DeadlineExceeded
@@ -62,7 +48,7 @@
 // outgoing is one packet on its way to a member.
 type outgoing struct {
 	to     dfuident.Address
-	packet Packet
+	packet dfuroster.Packet
 }
 
 // send makes calls to peers until ctx ends. A lost packet needs no repeat.
@@ -80,12 +66,12 @@
 func (d *Duty) call(ctx context.Context, out outgoing) {
 	ctx, cancel := context.WithTimeout(ctx, d.cfg.CallTimeout.Std())
 	defer cancel()
-	var answer Packet
+	var answer dfuroster.Packet
 	if err := d.deps.Caller.Call(ctx, out.to, deliverMethod, &out.packet, &answer); err != nil {
 		d.failedCalls.Add(1)
 		return
 	}
-	if !answer.isEmpty() {
-		d.inbox.Offer(packetInput{packet: answer})
+	if !answer.IsEmpty() {
+		d.inbox.Offer(input{event: dfuroster.Received{Packet: answer}})
 	}
 }
--- a/io/process/dfucontrol/status.go
+++ b/io/process/dfucontrol/status.go
@@ -54,22 +54,21 @@
 	return s
 }
 
-// status returns the part of the status that only the owner knows. It is made
-// anew only when the view or the records have changed.
-func (o *owner) status() *Status {
-	records := o.exchange.Set()
-	standing := o.exchange.Standing(o.duty.deps.Clock.Now())
+// status returns the part of the status that only the owner knows.
+func (o *owner) status(now dfuclock.Time) *Status {
+	exchange := o.keeper.Exchange()
+	standing := exchange.Standing(now)
 	return &Status{
-		Member:            o.membership.Self().Member,
-		HasCatalogue:      o.exchange.Synced(),
-		CatalogueRevision: records.Greatest(dfustore.CataloguePrefix),
-		ViewVersion:       o.view.Version(),
-		Invalid:           records.Invalid(),
+		Member:            o.keeper.Membership().Self().Member,
+		HasCatalogue:      exchange.Synced(),
+		CatalogueRevision: exchange.Set().Greatest(dfustore.CataloguePrefix),
+		ViewVersion:       o.keeper.View().Version(),
+		Invalid:           exchange.Set().Invalid(),
 		Confirmed:         standing.Confirmed,
 		Age:               standing.Age,
-		Watcher:           o.exchange.Watcher(),
-		Bridge:            o.membership.IsBridge(),
-		Membership:        o.membership.Counts(),
-		Exchange:          o.exchange.Counts(),
+		Watcher:           exchange.Watcher(),
+		Bridge:            o.keeper.Membership().IsBridge(),
+		Membership:        o.keeper.Membership().Counts(),
+		Exchange:          exchange.Counts(),
 	}
 }
--- a/io/process/dfucontrol/watch.go
+++ b/io/process/dfucontrol/watch.go
@@ -6,6 +6,7 @@
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/version/dfurecord"
+	"dragonflyusher/core/version/dfuroster"
 	"dragonflyusher/io/process/dfustore"
 
 	"github.com/cockroachdb/errors"
@@ -89,7 +90,7 @@
 
 func (d *Duty) deliver(answer dfurecord.StoreAnswered) error {
 	d.storeAnswered()
-	if !d.inbox.Offer(storeInput{answer: answer}) {
+	if !d.inbox.Offer(input{event: dfuroster.StoreAnswered{Answer: answer}}) {
 		return errRingFull
 	}
 	return nil
