measure/policy: measure the choice of targets; core/connection/dfuchoice: look for a free slot, then wait

Causes: spilling over followed the guesses about single far targets, so both regions crossed at once and filled the link; a load counted as the truth for too long, so many entry nodes avoided and sought the same targets; after two refusals the one target left took the request however long its queue was.

Now a share of requests crosses that moves by small steps with both regions' latencies, and one that was refused everywhere crosses if waiting at home costs more than the link. Choice.Wait tells the gate whether a request looks for a free slot or waits; refused targets come back as places to wait. Hedges run on free slots only.

--- a/core/connection/dfuchoice/choice.go
+++ b/core/connection/dfuchoice/choice.go
@@ -19,6 +19,9 @@
 	Body dfuident.Bytes
 	// Excluded lists targets that have refused or failed the request already.
 	Excluded []dfuident.NodeID
+	// Refused lists those of Excluded whose node refused the request for want
+	// of a free slot. They are chosen again when waiting there costs least.
+	Refused []dfuident.NodeID
 	// Attempt counts the earlier attempts of the request.
 	Attempt int
 }
@@ -46,6 +49,10 @@
 type Choice struct {
 	Member dfuident.Member
 	Reason ChoiceReason
+	// Wait says that the request should wait in the target's queue. Without
+	// it, the target's node refuses a request that finds no free slot, so that
+	// it can be tried elsewhere.
+	Wait bool
 }
 
 // Load is what a target's node tells of its target with an answer. It takes 12
--- a/core/connection/dfuchoice/chooser.go
+++ b/core/connection/dfuchoice/chooser.go
@@ -40,6 +40,8 @@
 type Chooser struct {
 	settings Settings
 	rng      *rand.Rand
+	// from is the place of the entry node.
+	from     dfuident.Place
 	services map[dfuident.Service]*serviceState
 	nodes    map[dfuident.NodeID]*targetState
 }
@@ -48,9 +50,10 @@
 type serviceState struct {
 	targets []*targetState
 	// turn is the position of RoundRobin.
-	turn int
-	// spilling says that requests cross to the far region.
-	spilling bool
+	turn  int
+	spill spill
+	// refusals is the share of attempts that found no free slot.
+	refusals float64
 	// latencies holds recent latencies of answers, which hedging starts from.
 	latencies quantiles
 }
@@ -112,9 +115,13 @@
 	if t == nil || t.target.Member != f.Node {
 		return
 	}
-	t.noteDone(now, f, c.settings.Delays)
+	network := t.networkTime(c.from, c.settings.Delays)
+	t.noteDone(now, f, network)
+	t.service.noteRefusal(f.Kind)
 	if f.Kind == FeedbackAnswered {
 		t.service.latencies.add(f.Latency)
+		far := t.target.Place.Region != c.from.Region
+		t.service.spill.note(now, far, max(0, float64(f.Latency)-network))
 	}
 }
 
@@ -130,6 +137,7 @@
 
 // Choose returns a target for a request, or false if none is left.
 func (c *Chooser) Choose(now dfuclock.Time, q Query) (Choice, bool) {
+	c.from = q.From
 	state := c.services[q.Service]
 	if state == nil {
 		return Choice{}, false
@@ -145,14 +153,16 @@
 	}
 	switch policy := c.settings.Policy.(type) {
 	case Random:
+		candidates = regional(q, candidates, policy.Regional)
 		return plainChoice(q, candidates[c.rng.IntN(len(candidates))]), true
 	case RoundRobin:
+		candidates = regional(q, candidates, policy.Regional)
 		state.turn++
 		return plainChoice(q, candidates[state.turn%len(candidates)]), true
 	case LeastReported:
-		return plainChoice(q, c.leastReported(candidates)), true
+		return plainChoice(q, c.leastReported(regional(q, candidates, policy.Regional))), true
 	case TwoChoicesOnReports:
-		return plainChoice(q, c.leastReported(c.draw(candidates, 2))), true
+		return plainChoice(q, c.leastReported(c.draw(regional(q, candidates, policy.Regional), 2))), true
 	case TwoChoices:
 		return c.byResponse(now, q, state, candidates, 2), true
 	case LateBinding:
@@ -161,6 +171,35 @@
 	return Choice{}, false
 }
 
+// regional returns the candidates of the own region if only those are wanted
+// and there are any.
+func regional(q Query, candidates []*targetState, only bool) []*targetState {
+	if !only {
+		return candidates
+	}
+	var own []*targetState
+	for _, t := range candidates {
+		if t.target.Place.Region == q.From.Region {
+			own = append(own, t)
+		}
+	}
+	if len(own) == 0 {
+		return candidates
+	}
+	return own
+}
+
+// noteRefusal learns whether an attempt found a free slot.
+func (s *serviceState) noteRefusal(kind FeedbackKind) {
+	switch kind {
+	case FeedbackRefused:
+		s.refusals += refusalSmoothing * (1 - s.refusals)
+	case FeedbackAnswered:
+		s.refusals -= refusalSmoothing * s.refusals
+	case FeedbackTargetError, FeedbackLinkFailed, FeedbackCanceled:
+	}
+}
+
 // adopt returns the state of a target, taken over from the old ones if the
 // same incarnation is among them.
 func (c *Chooser) adopt(now dfuclock.Time, old []*targetState, target Target) *targetState {
--- a/core/connection/dfuchoice/hedge.go
+++ b/core/connection/dfuchoice/hedge.go
@@ -11,7 +11,10 @@
 	// latencySamples is how many recent latencies a quantile is taken from.
 	latencySamples = 128
 	// hedgeQuantile is the share of requests that are answered before a hedge.
-	hedgeQuantile = 0.95
+	hedgeQuantile = 0.9
+	// hedgeRefusals is the refusal rate above which there is no room for a
+	// second attempt.
+	hedgeRefusals = 0.8
 )
 
 // quantiles keeps the most recent latencies of one service.
@@ -43,7 +46,7 @@
 // is known. The caller of HedgeAfter charges the attempt to a retry budget.
 func (c *Chooser) HedgeAfter(q Query) (dfuclock.Duration, bool) {
 	state := c.services[q.Service]
-	if state == nil || !q.Idempotent {
+	if state == nil || !q.Idempotent || state.refusals > hedgeRefusals {
 		return 0, false
 	}
 	wait, ok := state.latencies.at(hedgeQuantile)
--- a/core/connection/dfuchoice/policy.go
+++ b/core/connection/dfuchoice/policy.go
@@ -9,17 +9,29 @@
 }
 
 // Random picks any target with equal chance.
-type Random struct{}
+type Random struct {
+	// Regional leaves out other regions while the own one has a target left.
+	Regional bool
+}
 
 // RoundRobin takes the targets in turn.
-type RoundRobin struct{}
+type RoundRobin struct {
+	// Regional leaves out other regions while the own one has a target left.
+	Regional bool
+}
 
 // LeastReported picks the target with the least load in its last report.
-type LeastReported struct{}
+type LeastReported struct {
+	// Regional leaves out other regions while the own one has a target left.
+	Regional bool
+}
 
 // TwoChoicesOnReports draws two targets and picks the one with less load in
 // its last report.
-type TwoChoicesOnReports struct{}
+type TwoChoicesOnReports struct {
+	// Regional leaves out other regions while the own one has a target left.
+	Regional bool
+}
 
 // TwoChoices draws two targets of the region and picks the one with less
 // expected response time, by own in-flight counts and the freshest load.
--- a/core/connection/dfuchoice/response.go
+++ b/core/connection/dfuchoice/response.go
@@ -1,57 +1,103 @@
 package dfuchoice
 
 import (
+	"slices"
+
 	"dragonflyusher/core/process/dfuclock"
-	"dragonflyusher/core/process/dfuident"
 )
 
-// Parameters of crossing the link between regions.
+// spread is the part of a cost that is random, so that many entry nodes with
+// the same view don't all choose the same target.
+const spread = 0.3
+
+// Parameters of waiting in a queue.
 const (
-	// bytesPerMillisecond prices the link: so many bytes are worth a
-	// millisecond of latency.
-	bytesPerMillisecond dfuident.Bytes = 500
-	// spillGain is the expected gain that starts crossing the link.
-	spillGain = 20.0
-	// returnGain is the expected gain below which crossing ends.
-	returnGain = 5.0
-	// deadlineShare is the share of the remaining time that a local target may
-	// be expected to take before far ones are compared without the price.
-	deadlineShare = 0.7
+	// refusalSmoothing is the weight of one attempt in the refusal rate.
+	refusalSmoothing = 0.05
+	// busyRate is the refusal rate above which most targets have no free slot,
+	// so that looking for one takes more time than it gains.
+	busyRate = 0.8
+	// lookShare is the share of requests that look for a free slot all the
+	// same, so that the rate stays known.
+	lookShare = 0.2
+	// looks is how many attempts of a request look for a free slot.
+	looks = 2
 )
 
-// scored is a target with its cost in milliseconds.
-type scored struct {
-	target *targetState
-	cost   float64
-}
-
-// byResponse chooses by expected response time: locally if possible, in the
-// far region if the gain pays for the link.
+// byResponse chooses by expected response time: in the own region if possible,
+// in the far region if the gain pays for the link.
 func (c *Chooser) byResponse(now dfuclock.Time, q Query, state *serviceState, candidates []*targetState, draws int) Choice {
 	usable, reason := c.usable(now, q, state, candidates)
 	if reason == ReasonProbation {
 		return Choice{Member: usable[0].target.Member, Reason: reason}
 	}
-	var local, far []*targetState
-	for _, t := range usable {
+	wait := c.waits(q, state)
+	own, far := c.split(q, usable)
+	own = c.addRefused(now, q, state, own, wait || len(own) == 0)
+	targets := own
+	switch {
+	case len(own) == 0:
+		targets = far
+	case len(far) > 0 && c.spills(now, q, state, own, far):
+		targets, reason = far, ReasonSpillover
+	}
+	target := c.cheapest(now, q, targets, max(draws, min(q.Attempt, 1)*len(targets)))
+	choice := plainChoice(q, target)
+	choice.Wait = wait || slices.Contains(q.Refused, target.target.Member.Node)
+	if reason != "" {
+		choice.Reason = reason
+	}
+	return choice
+}
+
+// waits decides whether a request waits in a queue: after a few refusals, or
+// when most targets refuse anyway.
+func (c *Chooser) waits(q Query, state *serviceState) bool {
+	return q.Attempt >= looks || state.refusals > busyRate && c.rng.Float64() >= lookShare
+}
+
+// split divides candidates into those of the own region and the others.
+func (c *Chooser) split(q Query, candidates []*targetState) (own, far []*targetState) {
+	for _, t := range candidates {
 		if t.target.Place.Region == q.From.Region {
-			local = append(local, t)
+			own = append(own, t)
 		} else {
 			far = append(far, t)
 		}
 	}
-	best, crosses := c.cheapest(now, q, local, draws), false
-	if len(far) > 0 {
-		best, crosses = c.compare(q, state, best, c.cheapest(now, q, far, draws))
+	return own, far
+}
+
+// addRefused adds the targets of the own region that refused the request for
+// want of a free slot, if it is to wait in a queue now.
+func (c *Chooser) addRefused(now dfuclock.Time, q Query, state *serviceState, own []*targetState, wait bool) []*targetState {
+	if !wait || len(q.Refused) == 0 {
+		return own
+	}
+	for _, t := range state.targets {
+		if t.target.Place.Region == q.From.Region && !t.target.Draining && !t.health.looksBad(now) &&
+			slices.Contains(q.Refused, t.target.Member.Node) {
+			own = append(own, t)
+		}
+	}
+	return own
+}
+
+// spills decides whether a request crosses the link though its own region has
+// a target for it: because a share of them does, because the targets of its
+// own region refused it and waiting there costs more than crossing, or because
+// it would miss its deadline.
+func (c *Chooser) spills(now dfuclock.Time, q Query, state *serviceState, own, far []*targetState) bool {
+	distance := 2 * float64(c.settings.Delays.FarRegion-c.settings.Delays.SameRegion)
+	if state.spill.crosses(now, q, distance, c.rng) {
+		return true
 	}
-	choice := plainChoice(q, best.target)
-	switch {
-	case reason != "":
-		choice.Reason = reason
-	case crosses && len(local) > 0:
-		choice.Reason = ReasonSpillover
+	best := c.cheapest(now, q, own, len(own))
+	gain := c.cost(now, q, best) - c.cost(now, q, c.cheapest(now, q, far, len(far)))
+	if slices.Contains(q.Refused, best.target.Member.Node) && gain > price(q) {
+		return true
 	}
-	return choice
+	return gain > 0 && c.cost(now, q, best) > deadlineShare*float64(q.Remaining)
 }
 
 // usable returns the candidates that health allows, and the reason if health
@@ -82,38 +128,20 @@
 	return good, ""
 }
 
-// cheapest returns the cheapest of a few drawn targets, or nothing if there
-// are none.
-func (c *Chooser) cheapest(now dfuclock.Time, q Query, targets []*targetState, draws int) scored {
-	var best scored
+// cheapest returns the cheapest of a few drawn targets.
+func (c *Chooser) cheapest(now dfuclock.Time, q Query, targets []*targetState, draws int) *targetState {
+	var best *targetState
+	least := 0.0
 	for _, t := range c.draw(targets, draws) {
-		cost := t.corrected(now) + t.networkTime(q.From, c.settings.Delays)
-		if best.target == nil || cost < best.cost {
-			best = scored{t, cost}
+		cost := c.cost(now, q, t) * (1 + spread*c.rng.Float64())
+		if best == nil || cost < least {
+			best, least = t, cost
 		}
 	}
 	return best
 }
 
-// compare returns the local target unless the far one's gain pays for the
-// bytes over the link. Starting to cross takes a greater gain than going on,
-// so that requests don't swing between the regions.
-func (c *Chooser) compare(q Query, state *serviceState, local, far scored) (scored, bool) {
-	if local.target == nil {
-		return far, true
-	}
-	gain := local.cost - far.cost
-	if local.cost < deadlineShare*float64(q.Remaining) {
-		gain -= float64(q.Body / bytesPerMillisecond)
-	}
-	switch {
-	case gain > spillGain:
-		state.spilling = true
-	case gain < returnGain:
-		state.spilling = false
-	}
-	if state.spilling {
-		return far, true
-	}
-	return local, false
+// cost returns the expected time in milliseconds until a target's answer.
+func (c *Chooser) cost(now dfuclock.Time, q Query, t *targetState) float64 {
+	return t.corrected(now) + t.networkTime(q.From, c.settings.Delays)
 }
--- a/core/connection/dfuchoice/target.go
+++ b/core/connection/dfuchoice/target.go
@@ -1,8 +1,6 @@
 package dfuchoice
 
 import (
-	"math"
-
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
 )
@@ -12,7 +10,7 @@
 	// defaultServiceTime stands in until a target's first load or answer.
 	defaultServiceTime = 20 * dfuclock.Millisecond
 	// signalLifetime is the age at which a load says nothing more.
-	signalLifetime = 400 * dfuclock.Millisecond
+	signalLifetime = 100 * dfuclock.Millisecond
 	// slowStart is how long a cold target's share of requests grows.
 	slowStart = 10 * dfuclock.Second
 	// slowStartFloor is the share of its slots that a cold target starts at.
@@ -21,6 +19,12 @@
 	smoothing = 0.1
 	// maxCorrection bounds how far observed latencies raise an expectation.
 	maxCorrection = 20.0
+	// occupancy is the part of a service time that full slots are worth, so
+	// that free targets are preferred before any queue builds up.
+	occupancy = 0.2
+	// refusedOccupancy is the load, in slots, of a target that refused a
+	// request without telling its load.
+	refusedOccupancy = 1.3
 	// defaultSlots stands in for a target that doesn't tell its slots.
 	defaultSlots = 8
 )
@@ -37,7 +41,9 @@
 	// response times at Sent and at Done; their ratio corrects a target whose
 	// loads promise more than it keeps.
 	expected, observed float64
-	health             health
+	// usual is a slow moving average of the reported service time.
+	usual  float64
+	health health
 }
 
 // signal is a Load with its age and without this node's own part.
@@ -62,14 +68,18 @@
 }
 
 // noteDone uncounts an attempt and learns from its end.
-func (t *targetState) noteDone(now dfuclock.Time, f Feedback, delays Delays) {
+func (t *targetState) noteDone(now dfuclock.Time, f Feedback, network float64) {
 	t.own = max(0, t.own-1)
-	if f.Load != nil {
+	switch {
+	case f.Load != nil:
 		t.noteLoad(now, *f.Load)
+	case f.Kind == FeedbackRefused:
+		t.signal.known, t.signal.at = true, now
+		t.signal.load.ServiceTime = dfuclock.Duration(t.usualService())
+		t.signal.others = refusedOccupancy * t.slots(now)
 	}
 	if f.Kind == FeedbackAnswered {
-		network := min(f.Latency, 2*delays.SameRegion)
-		t.observed = average(t.observed, float64(f.Latency-network))
+		t.observed = average(t.observed, max(0, float64(f.Latency)-network))
 	}
 	t.health.noteDone(now, f.Kind)
 }
@@ -79,6 +89,7 @@
 	if t.signal.known && int32(load.Sequence-t.signal.load.Sequence) < 0 {
 		return
 	}
+	t.usual = average(t.usual, float64(load.ServiceTime))
 	total := float64(load.InFlight) + float64(load.Queued)
 	t.signal = signal{known: true, at: now, load: load, others: max(0, total-float64(t.own))}
 }
@@ -92,10 +103,10 @@
 // one more request: the wait for a slot and the service time.
 func (t *targetState) response(now dfuclock.Time) float64 {
 	slots := t.slots(now)
-	service := t.serviceTime()
+	service := t.serviceTime(now)
 	outstanding := float64(t.own) + t.others(now)
 	wait := max(0, outstanding+1-slots) * service / slots
-	return wait + service
+	return wait + service*(1+occupancy*outstanding/slots)
 }
 
 // corrected returns the response time raised by what was observed.
@@ -126,36 +137,37 @@
 	return min(max(age, slowStartFloor), 1)
 }
 
-// serviceTime returns the time in milliseconds that a request holds a slot.
-func (t *targetState) serviceTime() float64 {
-	if t.signal.known && t.signal.load.ServiceTime > 0 {
-		return float64(t.signal.load.ServiceTime)
+// serviceTime returns the time in milliseconds that a request holds a slot. As
+// the signal ages, it moves to the usual time.
+func (t *targetState) serviceTime(now dfuclock.Time) float64 {
+	usual := t.usualService()
+	if !t.signal.known {
+		return usual
+	}
+	weight := t.signal.weight(now)
+	return weight*float64(t.signal.load.ServiceTime) + (1-weight)*usual
+}
+
+// usualService returns what is known of the service time without a signal.
+func (t *targetState) usualService() float64 {
+	if t.usual > 0 {
+		return t.usual
 	}
 	return float64(defaultServiceTime)
 }
 
 // others returns the load by other entry nodes. As the signal ages, it moves
-// to the mean over the service's targets.
+// to nothing.
 func (t *targetState) others(now dfuclock.Time) float64 {
-	mean := t.service.meanOthers()
-	if !t.signal.known {
-		return mean
-	}
-	age := float64(now.Sub(t.signal.at)) / float64(signalLifetime)
-	weight := min(max(1-age, 0), 1)
-	return weight*t.signal.others + (1-weight)*mean
-}
-
-// meanOthers returns the mean of the last known loads by other entry nodes.
-func (s *serviceState) meanOthers() float64 {
-	sum, n := 0.0, 0
-	for _, t := range s.targets {
-		if t.signal.known {
-			sum += t.signal.others
-			n++
-		}
+	return t.signal.weight(now) * t.signal.others
+}
+
+// weight returns how far a signal is to be believed at its age.
+func (s *signal) weight(now dfuclock.Time) float64 {
+	if !s.known {
+		return 0
 	}
-	return sum / math.Max(1, float64(n))
+	return max(0, 1-float64(now.Sub(s.at))/float64(signalLifetime))
 }
 
 // networkTime returns the round trip in milliseconds from a place.
--- /dev/null
+++ b/measure/policy/entry.go
@@ -0,0 +1,201 @@
+package policy
+
+import (
+	"dragonflyusher/core/connection/dfuchoice"
+	"dragonflyusher/core/process/dfubudget"
+	"dragonflyusher/core/process/dfuident"
+)
+
+// call is one request of a caller.
+type call struct {
+	entry      *entry
+	work       float64
+	sent       instant
+	deadline   instant
+	patient    bool
+	idempotent bool
+	done       bool
+	abandoned  bool
+	attempts   int
+	live       []*attempt
+	excluded   []dfuident.NodeID
+	refused    []dfuident.NodeID
+}
+
+// entry is a node where requests enter.
+type entry struct {
+	sim     *simulation
+	member  dfuident.Member
+	place   dfuident.Place
+	chooser *dfuchoice.Chooser
+	retries *dfubudget.RetryBudget
+}
+
+// accept takes a call, sends its first attempt and plans its end.
+func (e *entry) accept(c *call) {
+	now := e.sim.clock.now
+	e.retries.Earn(e.sim.deployment.Service, "")
+	e.sim.clock.after(c.deadline-now, func() { e.abandon(c) })
+	e.try(c, false)
+	if !e.sim.contender.Hedge {
+		return
+	}
+	wait, ok := e.chooser.HedgeAfter(e.query(c))
+	if !ok {
+		return
+	}
+	e.sim.clock.after(instant(wait)*millisecond, func() {
+		if !c.done && len(c.live) == 1 && c.attempts < maxAttempts {
+			e.hedge(c)
+		}
+	})
+}
+
+// hedge sends a second attempt to another target of the region.
+func (e *entry) hedge(c *call) {
+	q := e.query(c)
+	q.Excluded = append(q.Excluded, c.live[0].worker.member.Node)
+	choice, ok := e.chooser.Choose(e.sim.clock.now.time(), q)
+	if !ok || choice.Reason != dfuchoice.ReasonLocalZone && choice.Reason != dfuchoice.ReasonLocalRegion {
+		return
+	}
+	if e.retries.Take(e.sim.deployment.Service, "") {
+		e.send(c, choice, true)
+	}
+}
+
+// query describes a call to the chooser.
+func (e *entry) query(c *call) dfuchoice.Query {
+	return dfuchoice.Query{
+		Service:    e.sim.deployment.Service,
+		From:       e.place,
+		Remaining:  (c.deadline - e.sim.clock.now).duration(),
+		Idempotent: c.idempotent,
+		Body:       requestBytes + answerBytes,
+		Excluded:   c.excluded,
+		Refused:    c.refused,
+		Attempt:    c.attempts,
+	}
+}
+
+// try sends the next attempt, or fails the call if there is no target.
+func (e *entry) try(c *call, hedge bool) {
+	q := e.query(c)
+	choice, ok := e.choose(c, q)
+	if !ok && len(q.Excluded) > 0 {
+		q.Excluded, q.Refused = nil, nil
+		choice, ok = e.choose(c, q)
+	}
+	if !ok || c.attempts >= maxAttempts {
+		e.fail(c)
+		return
+	}
+	e.send(c, choice, hedge)
+}
+
+// choose asks the chooser, or the oracle.
+func (e *entry) choose(c *call, q dfuchoice.Query) (dfuchoice.Choice, bool) {
+	if e.sim.contender.Policy == nil {
+		return e.sim.oracle(e, c, q)
+	}
+	return e.chooser.Choose(e.sim.clock.now.time(), q)
+}
+
+// send hands an attempt to the network.
+func (e *entry) send(c *call, choice dfuchoice.Choice, hedge bool) {
+	w := e.sim.byNode[choice.Member.Node]
+	a := &attempt{call: c, worker: w, sent: e.sim.clock.now, wait: choice.Wait && !hedge}
+	c.attempts++
+	c.live = append(c.live, a)
+	w.assigned++
+	e.chooser.Sent(e.sim.clock.now.time(), choice.Member)
+	e.sim.transmit(e.place, w.place, requestBytes, func() { w.arrive(a) })
+	e.sim.clock.after(linkTimeout, func() {
+		if !a.closed && (w.down || e.sim.isCut(e.place, w.place)) {
+			e.ended(a, dfuchoice.FeedbackLinkFailed, nil)
+		}
+	})
+}
+
+// ended learns from an attempt's end and goes on with its call.
+func (e *entry) ended(a *attempt, kind dfuchoice.FeedbackKind, load *dfuchoice.Load) {
+	c := a.call
+	if !e.closeAttempt(a, kind, load) || c.done {
+		return
+	}
+	switch kind {
+	case dfuchoice.FeedbackAnswered:
+		e.complete(c)
+	case dfuchoice.FeedbackRefused:
+		c.excluded = append(c.excluded, a.worker.member.Node)
+		if a.noSlot {
+			c.refused = append(c.refused, a.worker.member.Node)
+		}
+		if len(c.live) == 0 {
+			e.try(c, false)
+		}
+	case dfuchoice.FeedbackTargetError, dfuchoice.FeedbackLinkFailed:
+		c.excluded = append(c.excluded, a.worker.member.Node)
+		switch {
+		case len(c.live) > 0:
+		case c.idempotent && e.retries.Take(e.sim.deployment.Service, ""):
+			e.try(c, false)
+		default:
+			e.fail(c)
+		}
+	case dfuchoice.FeedbackCanceled:
+	}
+}
+
+// closeAttempt tells the chooser of an attempt's end, once.
+func (e *entry) closeAttempt(a *attempt, kind dfuchoice.FeedbackKind, load *dfuchoice.Load) bool {
+	if a.closed {
+		return false
+	}
+	a.closed = true
+	for i, other := range a.call.live {
+		if other == a {
+			a.call.live = append(a.call.live[:i], a.call.live[i+1:]...)
+			break
+		}
+	}
+	now := e.sim.clock.now
+	e.chooser.Done(now.time(), dfuchoice.Feedback{
+		Node: a.worker.member, Kind: kind, Latency: (now - a.sent).duration(), Load: load,
+	})
+	return true
+}
+
+// complete answers the caller and cancels the other attempts.
+func (e *entry) complete(c *call) {
+	c.done = true
+	e.cancelAll(c)
+	latency := e.sim.clock.now - c.sent + e.sim.clientDelay()
+	e.sim.result.note(c, latency, c.sent+latency <= c.deadline+e.sim.clientDelay())
+}
+
+// fail tells the caller that there is no answer.
+func (e *entry) fail(c *call) {
+	c.done = true
+	e.cancelAll(c)
+	e.sim.result.note(c, c.deadline-c.sent, false)
+}
+
+// abandon ends a call whose caller has gone.
+func (e *entry) abandon(c *call) {
+	if c.done {
+		return
+	}
+	c.done, c.abandoned = true, true
+	e.cancelAll(c)
+	e.sim.result.note(c, c.deadline-c.sent, false)
+}
+
+// cancelAll ends a call's attempts at their workers.
+func (e *entry) cancelAll(c *call) {
+	for len(c.live) > 0 {
+		a := c.live[0]
+		e.closeAttempt(a, dfuchoice.FeedbackCanceled, nil)
+		e.sim.transmit(e.place, a.worker.place, 0, func() { a.worker.cancel(a) })
+	}
+}
