core/connection/dfuchoice: cap ejections and start returned targets slowly

A third of a service's targets at most is ejected; one that fails beyond the cap costs more, since failing at once it has little in flight and looked fast. If more than half fail, health is left out. A probation that finds no idempotent request takes others after a while. A cold or returned target takes part in a growing share of requests; fewer slots in the estimate did nothing at a fraction of a request in flight for each entry node.

--- a/core/connection/dfuchoice/choice.go
+++ b/core/connection/dfuchoice/choice.go
@@ -41,6 +41,8 @@
 	ReasonFarRegion ChoiceReason = "far_region"
 	// ReasonProbation means an ejected target that is being tried again.
 	ReasonProbation ChoiceReason = "probation"
+	// ReasonNothingBetter means that health allowed no target at all.
+	ReasonNothingBetter ChoiceReason = "nothing_better"
 	// ReasonDistrust means that health was ignored since most targets look bad.
 	ReasonDistrust ChoiceReason = "distrust"
 )
--- a/core/connection/dfuchoice/response.go
+++ b/core/connection/dfuchoice/response.go
@@ -33,7 +33,7 @@
 	}
 	wait := c.waits(q, state)
 	own, far := c.split(q, usable)
-	own = c.addRefused(now, q, state, own, wait || len(own) == 0)
+	own = c.addRefused(q, state, own, wait || len(own) == 0)
 	targets := own
 	switch {
 	case len(own) == 0:
@@ -70,12 +70,12 @@
 
 // addRefused adds the targets of the own region that refused the request for
 // want of a free slot, if it is to wait in a queue now.
-func (c *Chooser) addRefused(now dfuclock.Time, q Query, state *serviceState, own []*targetState, wait bool) []*targetState {
+func (c *Chooser) addRefused(q Query, state *serviceState, own []*targetState, wait bool) []*targetState {
 	if !wait || len(q.Refused) == 0 {
 		return own
 	}
 	for _, t := range state.targets {
-		if t.target.Place.Region == q.From.Region && !t.target.Draining && !t.health.looksBad(now) &&
+		if t.target.Place.Region == q.From.Region && !t.target.Draining && t.health.state == healthy &&
 			slices.Contains(q.Refused, t.target.Member.Node) {
 			own = append(own, t)
 		}
@@ -101,29 +101,25 @@
 }
 
 // usable returns the candidates that health allows, and the reason if health
-// decides the choice.
+// decides the choice. Of the cold ones a growing share of requests takes part.
 func (c *Chooser) usable(now dfuclock.Time, q Query, state *serviceState, candidates []*targetState) ([]*targetState, ChoiceReason) {
-	bad := 0
-	for _, t := range state.targets {
-		if t.health.looksBad(now) {
-			bad++
-		}
-	}
-	if 2*bad > len(state.targets) {
+	if state.mostFail() {
 		return candidates, ReasonDistrust
 	}
 	good := make([]*targetState, 0, len(candidates))
 	for _, t := range candidates {
 		switch {
-		case t.health.looksBad(now):
-		case !t.health.onProbation():
-			good = append(good, t)
-		case q.Attempt == 0 && q.Idempotent && t.health.trials == 0 && t.target.Place.Region == q.From.Region:
+		case t.health.isEjected(now):
+		case t.health.state != probation:
+			if warmth := t.warmth(now); warmth >= 1 || c.rng.Float64() < warmth {
+				good = append(good, t)
+			}
+		case t.target.Place.Region == q.From.Region && t.health.takesTrial(now, q):
 			return []*targetState{t}, ReasonProbation
 		}
 	}
 	if len(good) == 0 {
-		return candidates, ReasonDistrust
+		return candidates, ReasonNothingBetter
 	}
 	return good, ""
 }
@@ -143,5 +139,5 @@
 
 // cost returns the expected time in milliseconds until a target's answer.
 func (c *Chooser) cost(now dfuclock.Time, q Query, t *targetState) float64 {
-	return t.corrected(now) + t.networkTime(q.From, c.settings.Delays)
+	return t.corrected(now)*t.health.penalty() + t.networkTime(q.From, c.settings.Delays)
 }
--- a/core/connection/dfuchoice/target.go
+++ b/core/connection/dfuchoice/target.go
@@ -12,8 +12,8 @@
 	// signalLifetime is the age at which a load says nothing more.
 	signalLifetime = 100 * dfuclock.Millisecond
 	// slowStart is how long a cold target's share of requests grows.
-	slowStart = 10 * dfuclock.Second
-	// slowStartFloor is the share of its slots that a cold target starts at.
+	slowStart = 5 * dfuclock.Second
+	// slowStartFloor is the share of requests that a cold target starts at.
 	slowStartFloor = 0.1
 	// smoothing is the weight of a new observation in a moving average.
 	smoothing = 0.1
@@ -44,6 +44,8 @@
 	// usual is a slow moving average of the reported service time.
 	usual  float64
 	health health
+	// returned is when the target ended its last probation.
+	returned dfuclock.Time
 }
 
 // signal is a Load with its age and without this node's own part.
@@ -64,7 +66,7 @@
 func (t *targetState) noteSent(now dfuclock.Time) {
 	t.expected = average(t.expected, t.response(now))
 	t.own++
-	t.health.noteSent()
+	t.health.trials++
 }
 
 // noteDone uncounts an attempt and learns from its end.
@@ -76,12 +78,12 @@
 	case f.Kind == FeedbackRefused:
 		t.signal.known, t.signal.at = true, now
 		t.signal.load.ServiceTime = dfuclock.Duration(t.usualService())
-		t.signal.others = refusedOccupancy * t.slots(now)
+		t.signal.others = refusedOccupancy * t.slots()
 	}
 	if f.Kind == FeedbackAnswered {
 		t.observed = average(t.observed, max(0, float64(f.Latency)-network))
 	}
-	t.health.noteDone(now, f.Kind)
+	t.noteHealth(now, f.Kind)
 }
 
 // noteLoad takes a load unless a newer one is known.
@@ -102,7 +104,7 @@
 // response returns the expected time in milliseconds that the target takes for
 // one more request: the wait for a slot and the service time.
 func (t *targetState) response(now dfuclock.Time) float64 {
-	slots := t.slots(now)
+	slots := t.slots()
 	service := t.serviceTime(now)
 	outstanding := float64(t.own) + t.others(now)
 	wait := max(0, outstanding+1-slots) * service / slots
@@ -118,22 +120,22 @@
 	return response * min(max(t.observed/t.expected, 1), maxCorrection)
 }
 
-// slots returns the slots of the target, fewer during its slow start.
-func (t *targetState) slots(now dfuclock.Time) float64 {
-	slots := float64(defaultSlots)
+// slots returns the slots of the target.
+func (t *targetState) slots() float64 {
 	if t.target.Slots > 0 {
-		slots = float64(t.target.Slots)
+		return float64(t.target.Slots)
 	}
-	return max(1, slots*t.warmth(now))
+	return defaultSlots
 }
 
-// warmth returns the share of a target's slots that its slow start has
-// reached, one for a warm target.
+// warmth returns the share of the requests that a target's slow start lets it
+// take part in, one for a warm target.
 func (t *targetState) warmth(now dfuclock.Time) float64 {
-	if t.target.ColdSince == 0 {
+	since := max(t.target.ColdSince, t.returned)
+	if since == 0 {
 		return 1
 	}
-	age := float64(now.Sub(t.target.ColdSince)) / float64(slowStart)
+	age := float64(now.Sub(since)) / float64(slowStart)
 	return min(max(age, slowStartFloor), 1)
 }
 
