io/request: step the machines of a request under a mutex

Ruled out: the timer and the 5 ms tick, which cost wakeups but lie off the path. Change: the goroutine that brings an event steps the machine; the one that serves a call sends its first attempt, and the one that waits for an offer's reply runs it on the target. A call's goroutine detaches from its attempt once the call has its outcome. The house style asks for a goroutine per duty joined by rings; control keeps it, the path of a request does not.

--- a/io/connection/dfufront/front.go
+++ b/io/connection/dfufront/front.go
@@ -61,9 +61,10 @@
 
 // Entry decides about calls.
 type Entry interface {
-	// Serve blocks until the call has its outcome. The end of gone says that
-	// the caller has left.
-	Serve(call Call, gone <-chan struct{}) Result
+	// Serve blocks until the call has its outcome. It may watch for the
+	// caller's leave: gone is called once if the caller closes the connection
+	// before stop.
+	Serve(call Call, watch func(gone func()) (stop func())) Result
 }
 
 // Front serves callers on one listener.
@@ -113,12 +114,10 @@
 }
 
 func (f *Front) serve(ctx *fasthttp.RequestCtx, call Call) Result {
-	gone := make(chan struct{})
 	if watched, ok := ctx.Conn().(*conn); ok {
-		stop := watched.watch(func() { close(gone) })
-		defer stop()
+		return f.entry.Serve(call, watched.watch)
 	}
-	return f.entry.Serve(call, gone)
+	return f.entry.Serve(call, func(func()) func() { return func() {} })
 }
 
 // parseCall copies the call out of ctx, whose buffers are reused.
--- a/io/connection/dfupeer/errors.go
+++ b/io/connection/dfupeer/errors.go
@@ -8,6 +8,8 @@
 	// ErrLost means that the connection failed or went silent after the call
 	// may have been sent.
 	ErrLost = errors.New("peer connection was lost")
+	// ErrDetached means that the call goes on and its end is told elsewhere.
+	ErrDetached = errors.New("peer call goes on")
 )
 
 // IsNotSent reports whether err means that no byte of the call left.
--- a/io/connection/dfupeer/link.go
+++ b/io/connection/dfupeer/link.go
@@ -88,21 +88,40 @@
 }
 
 // call sends one call and waits for its answer, for ctx or for the link's end.
-func (l *link) call(ctx context.Context, method string, args, reply any) error {
-	if l.waiting.Add(1) == 1 {
-		l.busySince.Store(time.Now().UnixNano())
-	}
-	defer func() {
-		l.lastUsed.Store(time.Now().UnixNano())
-		l.waiting.Add(-1)
-	}()
+// If ctx ends first and late is not nil, call returns ErrDetached and late gets
+// the call's end.
+func (l *link) call(ctx context.Context, method string, args, reply any, late func(error)) error {
+	l.begin()
 	call := l.client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
+		l.end()
 		return callError(call.Error)
 	case <-ctx.Done():
+	}
+	if late == nil {
+		l.end()
 		return errors.Mark(errors.Wrap(ctx.Err(), "wait for peer"), ErrLost)
 	}
+	go func() {
+		<-call.Done
+		l.end()
+		late(callError(call.Error))
+	}()
+	return ErrDetached
+}
+
+// begin notes that one more call waits on the link.
+func (l *link) begin() {
+	if l.waiting.Add(1) == 1 {
+		l.busySince.Store(time.Now().UnixNano())
+	}
+}
+
+// end notes that one call less waits on the link.
+func (l *link) end() {
+	l.lastUsed.Store(time.Now().UnixNano())
+	l.waiting.Add(-1)
 }
 
 // callError tells a failure of the link from an error that the peer returned.
--- a/io/connection/dfupeer/pool.go
+++ b/io/connection/dfupeer/pool.go
@@ -58,12 +58,19 @@
 // Call makes one call on a lane to a peer. The error is marked ErrNotSent when
 // no byte left this node, and ErrLost when the peer may have got the call.
 func (p *Pool) Call(ctx context.Context, to dfuident.Address, lane Lane, method string, args, reply any) error {
+	return p.CallOrDetach(ctx, to, lane, method, args, reply, nil)
+}
+
+// CallOrDetach is Call for a caller that must not wait beyond ctx but still
+// needs the end of the call: if ctx ends first it returns ErrDetached, and late
+// gets what Call would have returned.
+func (p *Pool) CallOrDetach(ctx context.Context, to dfuident.Address, lane Lane, method string, args, reply any, late func(error)) error {
 	for attempt := 0; ; attempt++ {
 		l, err := p.link(ctx, slotKey{to, lane})
 		if err != nil {
 			return err
 		}
-		err = l.call(ctx, method, args, reply)
+		err = l.call(ctx, method, args, reply, late)
 		if attempt > 0 || !errors.Is(err, ErrNotSent) {
 			return err
 		}
--- a/io/process/dfunode/fleet_test.go
+++ b/io/process/dfunode/fleet_test.go
@@ -424,7 +424,9 @@
 // refuses runs the node's program, which is to end with a message: "refuses
 // MESSAGE ARGUMENT...".
 func (f *fleet) refuses(args []string) {
-	out, _ := exec.Command(filepath.Join(f.bin, "dragonflyusherd"), args[1:]...).CombinedOutput()
+	cmd := exec.Command(filepath.Join(f.bin, "dragonflyusherd"), args[1:]...)
+	cmd.Dir = f.dir
+	out, _ := cmd.CombinedOutput()
 	if !bytes.Contains(out, []byte(args[0])) {
 		f.ts.Fatalf("no %q in %s", args[0], out)
 	}
--- a/io/process/dfunode/gates.go
+++ b/io/process/dfunode/gates.go
@@ -19,8 +19,9 @@
 	local *receiver
 }
 
-// Offer asks the gate beside a target to run a request.
-func (g gates) Offer(ctx context.Context, to dfuroster.Node, offer *dfumessage.Offer) (*dfumessage.Reply, error) {
+// Offer asks the gate beside a target to run a request. If ctx ends first it
+// returns dfupeer.ErrDetached, and late gets the end.
+func (g gates) Offer(ctx context.Context, to dfuroster.Node, offer *dfumessage.Offer, late func(*dfumessage.Reply, error)) (*dfumessage.Reply, error) {
 	reply := &dfumessage.Reply{}
 	if to.Member == g.local.self() {
 		return reply, g.local.Offer(offer, reply)
@@ -29,7 +30,8 @@
 	if offer.Bulk {
 		lane = dfupeer.Bulk
 	}
-	return reply, g.pool.Call(ctx, to.Peer, lane, dfumessage.MethodOffer, offer, reply)
+	err := g.pool.CallOrDetach(ctx, to.Peer, lane, dfumessage.MethodOffer, offer, reply, func(err error) { late(reply, err) })
+	return reply, err
 }
 
 // Cancel withdraws a request.
--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -108,12 +108,12 @@
 
 // Serve implements dfufront.Entry. Before the node has joined it knows nothing
 // and says so.
-func (n *Node) Serve(call dfufront.Call, gone <-chan struct{}) dfufront.Result {
+func (n *Node) Serve(call dfufront.Call, watch func(gone func()) (stop func())) dfufront.Result {
 	s := n.started.Load()
 	if s == nil {
 		return dfufront.Result{Outcome: dfuoutcome.NotRun, Reason: dfuoutcome.ReasonNoCatalogue, Detail: "this node has not joined yet"}
 	}
-	return s.entry.Serve(call, gone)
+	return s.entry.Serve(call, watch)
 }
 
 // Run works until ctx ends, then drains the target and leaves.
@@ -141,6 +141,10 @@
 	}
 	n.leave(s)
 	err = errors.CombineErrors(err, n.front.Close())
+	if s != nil {
+		s.entry.Close()
+		s.gate.Close()
+	}
 	end()
 	n.server.Close()
 	n.pool.Close()
@@ -206,8 +210,6 @@
 		return nil
 	}
 	wg.Go(n.server.Run)
-	wg.Go(func() { s.gate.Run(life) })
-	wg.Go(func() { s.entry.Run(life) })
 	wg.Go(func() { s.target.run(life.Done()) })
 	n.started.Store(s)
 	n.publish(n.control.View())
--- a/io/request/dfuadmission/duty.go
+++ b/io/request/dfuadmission/duty.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
+	"maps"
+	"sync"
 	"time"
 
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
-	"dragonflyusher/core/process/dfuring"
 	"dragonflyusher/core/request/dfucrash"
 	"dragonflyusher/core/request/dfugate"
 	"dragonflyusher/core/request/dfuoutcome"
@@ -18,13 +19,6 @@
 	"go.uber.org/zap"
 )
 
-const (
-	// ringSize bounds the inputs that wait for the machine.
-	ringSize = 8192
-	// tickPeriod is how often the machine is told that time has passed.
-	tickPeriod = 5 * time.Millisecond
-)
-
 // Deps are what a Duty needs.
 type Deps struct {
 	Self    dfuident.Member
@@ -45,49 +39,62 @@
 	Refused  map[dfuoutcome.Reason]int64
 }
 
-// Duty runs one gate.
+// Duty runs one gate. The machine is stepped under a mutex by whichever
+// goroutine brings the event, and the goroutine that waits for an offer's reply
+// also runs the request on the target: a goroutine that owned the machine would
+// add a change of goroutine at each of its steps.
 type Duty struct {
-	deps   Deps
-	inputs *dfuring.Ring[input]
-	// stopped ends when the machine takes no further step.
-	stopped chan struct{}
-	// The fields below belong to the goroutine of Run.
+	deps     Deps
+	runs     metrics.Counter
+	canceled metrics.Counter
+
+	mu       sync.Mutex
+	timer    *time.Timer
+	stopped  bool
 	pending  map[dfuident.RequestID]*run
-	seals    map[dfuident.RequestID][]chan *dfumessage.SealReply
+	seal     *dfumessage.SealReply
 	kept     *keptAnswers
 	client   *dfutarget.Client
 	draining bool
 	drained  bool
 	refused  map[dfuoutcome.Reason]int64
-	runs     metrics.Counter
-	canceled metrics.Counter
 }
 
-// run is an offer that has no reply yet.
+// run is an offer that has no reply yet. Its goroutine waits on wake.
 type run struct {
 	offer   *dfumessage.Offer
 	event   dfugate.Offer
-	reply   chan *dfumessage.Reply
 	arrived dfuclock.Time
-	cancel  context.CancelFunc
-	answer  dfumessage.Answer
+	// wake gets what the waiting goroutine is to do next. The machine orders
+	// one hand-over and gives one reply, so two places are enough.
+	wake   chan order
+	cancel context.CancelFunc
+	answer dfumessage.Answer
 	// granted says that the claim must be finished or released.
 	granted bool
 }
 
-// New returns a duty that does nothing until Run.
+// order tells the goroutine of an offer what to do: to give the reply, or to
+// run the request on the target.
+type order struct {
+	reply     *dfumessage.Reply
+	ctx       context.Context
+	client    *dfutarget.Client
+	remaining dfuclock.Duration
+}
+
+// New returns a duty whose machine has no target yet.
 func New(deps Deps) *Duty {
-	return &Duty{
+	d := &Duty{
 		deps:     deps,
-		inputs:   dfuring.New[input](ringSize),
-		stopped:  make(chan struct{}),
 		pending:  map[dfuident.RequestID]*run{},
-		seals:    map[dfuident.RequestID][]chan *dfumessage.SealReply{},
 		kept:     newKeptAnswers(),
 		refused:  map[dfuoutcome.Reason]int64{},
 		runs:     metrics.GetOrRegisterCounter("gate.runs", deps.Metrics),
 		canceled: metrics.GetOrRegisterCounter("gate.canceled_runs", deps.Metrics),
 	}
+	d.timer = time.AfterFunc(time.Hour, d.tick)
+	return d
 }
 
 // Self returns the run of the node that the gate belongs to.
@@ -103,121 +110,91 @@
 	if dfumessage.Sum(offer.ID, offer.Body) != offer.Checksum {
 		return refusal(offer.ID, dfuoutcome.ReasonBadRequest)
 	}
-	in := offered{event: offerEvent(offer, class), offer: offer, reply: make(chan *dfumessage.Reply, 1)}
-	if !d.inputs.Offer(in) {
-		return refusal(offer.ID, dfuoutcome.ReasonQueueFull)
+	r, refused := d.admit(offer, class)
+	if refused != nil {
+		return refused
 	}
-	reply, ok := await(in.reply, d.stopped)
-	if !ok {
-		return refusal(offer.ID, dfuoutcome.ReasonDraining)
+	for {
+		o := <-r.wake
+		if o.reply != nil {
+			return o.reply
+		}
+		d.runOnTarget(r, o)
 	}
-	return reply
+}
+
+// admit steps the machine with an offer.
+func (d *Duty) admit(offer *dfumessage.Offer, class dfugate.Class) (*run, *dfumessage.Reply) {
+	event := offerEvent(offer, class)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stopped {
+		return nil, refusal(offer.ID, dfuoutcome.ReasonDraining)
+	}
+	if d.pending[offer.ID] != nil {
+		return nil, &dfumessage.Reply{ID: offer.ID, Outcome: dfuoutcome.Unknown, Reason: dfuoutcome.ReasonStaleRequest}
+	}
+	r := &run{offer: offer, event: event, arrived: d.deps.Clock.Now(), wake: make(chan order, 2)}
+	d.pending[offer.ID] = r
+	d.step(event)
+	return r, nil
 }
 
 // Cancel tells the gate that nobody waits for the request.
 func (d *Duty) Cancel(cancel dfumessage.Cancel) {
-	d.inputs.Offer(plain{dfugate.Cancel{ID: cancel.ID, Reason: cancel.Reason}})
+	d.Notify(dfugate.Cancel{ID: cancel.ID, Reason: cancel.Reason})
 }
 
 // Seal forbids the request to start from now on and returns what is known of
-// it. The result is nil if the gate is too busy to tell.
+// it.
 func (d *Duty) Seal(id dfuident.RequestID) *dfumessage.SealReply {
-	in := sealed{id: id, reply: make(chan *dfumessage.SealReply, 1)}
-	if !d.inputs.Offer(in) {
-		return nil
-	}
-	reply, _ := await(in.reply, d.stopped)
-	return reply
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seal = nil
+	d.step(dfugate.Seal{ID: id})
+	return d.seal
 }
 
-// Notify gives the machine an event that nobody waits for. It blocks until
-// there is room, because such an event must not be lost.
+// Notify gives the machine an event that nobody waits for.
 func (d *Duty) Notify(event dfugate.Event) {
-	for !d.inputs.Offer(plain{event}) {
-		time.Sleep(time.Millisecond)
-	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.note(event)
+	d.step(event)
 }
 
 // SetTarget puts a new local target in place; client is nil if it has gone.
 func (d *Duty) SetTarget(client *dfutarget.Client, event dfugate.Event) {
-	for !d.inputs.Offer(retargeted{client, event}) {
-		time.Sleep(time.Millisecond)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.client != nil {
+		d.client.Close()
 	}
+	d.client = client
+	d.step(event)
 }
 
 // Status returns the gate's state.
 func (d *Duty) Status() Status {
-	in := queried{reply: make(chan Status, 1)}
-	if !d.inputs.Offer(in) {
-		return Status{}
-	}
-	status, _ := await(in.reply, d.stopped)
-	return status
-}
-
-// Run steps the machine until ctx ends. Every offer that has no reply by then
-// gets the outcome unknown or not_run.
-func (d *Duty) Run(ctx context.Context) {
-	ticker := time.NewTicker(tickPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			d.abandon()
-			close(d.stopped)
-			return
-		case in := <-d.inputs.Items():
-			d.take(in)
-		case <-ticker.C:
-			d.step(dfugate.Tick{})
-		}
-	}
-}
-
-func (d *Duty) take(in input) {
-	switch in := in.(type) {
-	case offered:
-		d.takeOffer(in)
-	case sealed:
-		d.seals[in.id] = append(d.seals[in.id], in.reply)
-		d.step(dfugate.Seal{ID: in.id})
-	case finished:
-		d.takeFinished(in)
-	case retargeted:
-		if d.client != nil {
-			d.client.Close()
-		}
-		d.client = in.client
-		d.step(in.event)
-	case denied:
-		if r := d.pending[in.event.ID]; r != nil && in.answer != nil {
-			r.answer = *in.answer
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return Status{Load: d.load(), Draining: d.draining, Drained: d.drained, Refused: maps.Clone(d.refused)}
+}
+
+// Close answers what is left when the process stops: a request that the target
+// has may have run, any other has not and never will.
+func (d *Duty) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stopped = true
+	d.timer.Stop()
+	for id, r := range d.pending {
+		outcome := dfuoutcome.NotRun
+		if r.cancel != nil {
+			outcome = dfuoutcome.Unknown
+			r.cancel()
 		}
-		d.step(in.event)
-	case plain:
-		d.note(in.event)
-		d.step(in.event)
-	case queried:
-		in.reply <- Status{Load: d.load(), Draining: d.draining, Drained: d.drained, Refused: copyCounts(d.refused)}
-	}
-}
-
-func (d *Duty) takeOffer(in offered) {
-	if d.pending[in.event.ID] != nil {
-		in.reply <- &dfumessage.Reply{ID: in.event.ID, Outcome: dfuoutcome.Unknown, Reason: dfuoutcome.ReasonStaleRequest}
-		return
-	}
-	d.pending[in.event.ID] = &run{offer: in.offer, event: in.event, reply: in.reply, arrived: d.deps.Clock.Now()}
-	d.step(in.event)
-}
-
-func (d *Duty) takeFinished(in finished) {
-	if r := d.pending[in.id]; r != nil {
-		r.answer = in.answer
-	}
-	d.step(in.event)
-	if in.crashed {
-		d.step(dfugate.TargetCrashed{})
+		d.conclude(id, outcome, dfuoutcome.ReasonDraining)
 	}
 }
 
@@ -237,16 +214,31 @@
 	}
 }
 
+func (d *Duty) tick() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.step(dfugate.Tick{})
+}
+
+// step gives the machine an event, carries out its actions and sets the timer
+// to its next deadline. The mutex is held.
 func (d *Duty) step(event dfugate.Event) {
-	for _, action := range d.deps.Machine.Step(d.deps.Clock.Now(), event) {
+	if d.stopped {
+		return
+	}
+	now := d.deps.Clock.Now()
+	for _, action := range d.deps.Machine.Step(now, event) {
 		d.act(action)
 	}
+	if due, ok := d.deps.Machine.Next(); ok {
+		d.timer.Reset(max(due.Sub(now), dfuclock.Millisecond).Std())
+	}
 }
 
 func (d *Duty) act(action dfugate.Action) {
 	switch a := action.(type) {
 	case dfugate.RunOnTarget:
-		d.runOnTarget(a)
+		d.handOver(a)
 	case dfugate.CancelOnTarget:
 		if r := d.pending[a.ID]; r != nil && r.cancel != nil {
 			d.canceled.Inc(1)
@@ -275,55 +267,65 @@
 	}
 }
 
-func (d *Duty) runOnTarget(a dfugate.RunOnTarget) {
+// handOver orders the goroutine of an offer to run it on the target.
+func (d *Duty) handOver(a dfugate.RunOnTarget) {
 	r := d.pending[a.ID]
-	if r == nil || d.client == nil {
-		d.inputs.Offer(finished{id: a.ID, event: dfugate.TargetFailed{ID: a.ID, Refused: true}})
-		return
-	}
-	d.runs.Inc(1)
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
-	go d.runOne(ctx, cancel, d.client, r.offer, a.Remaining)
-}
-
-// runOne sends one request to the target and reports its end.
-func (d *Duty) runOne(ctx context.Context, cancel context.CancelFunc, client *dfutarget.Client, offer *dfumessage.Offer, remaining dfuclock.Duration) {
-	defer cancel()
-	answer, err := client.Run(ctx, offer, remaining)
-	end := finished{id: offer.ID, answer: answer}
-	switch dfutarget.Classify(answer, err) {
-	case dfutarget.EndAnswered:
-		end.event = dfugate.TargetDone{ID: offer.ID, Failed: answer.Status >= firstServerError}
-	case dfutarget.EndNotRun:
-		end.event = dfugate.TargetFailed{ID: offer.ID, Refused: true}
-	case dfutarget.EndInterrupted:
-		end.crashed = ctx.Err() == nil && !client.Reachable()
-		end.event = dfugate.TargetFailed{ID: offer.ID, Died: end.crashed}
+	d.runs.Inc(1)
+	r.wake <- order{ctx: ctx, client: d.client, remaining: a.Remaining}
+}
+
+// runOnTarget runs an offer on the target and reports its end.
+func (d *Duty) runOnTarget(r *run, o order) {
+	defer r.cancel()
+	var answer dfumessage.Answer
+	var event dfugate.Event = dfugate.TargetFailed{ID: r.offer.ID, Refused: true}
+	crashed := false
+	if o.client != nil {
+		var err error
+		answer, err = o.client.Run(o.ctx, r.offer, o.remaining)
+		switch dfutarget.Classify(answer, err) {
+		case dfutarget.EndAnswered:
+			event = dfugate.TargetDone{ID: r.offer.ID, Failed: answer.Status >= firstServerError}
+		case dfutarget.EndNotRun:
+		case dfutarget.EndInterrupted:
+			crashed = o.ctx.Err() == nil && !o.client.Reachable()
+			event = dfugate.TargetFailed{ID: r.offer.ID, Died: crashed}
+		}
 	}
-	for !d.inputs.Offer(end) {
-		time.Sleep(time.Millisecond)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r.answer = answer
+	d.step(event)
+	if crashed {
+		d.step(dfugate.TargetCrashed{})
 	}
 }
 
 // firstServerError is the lowest HTTP status that blames the target.
 const firstServerError = 500
 
+// askClaim asks the claims for leave. They may decide at once, while the mutex
+// is held, so that the verdict is taken by another goroutine.
 func (d *Duty) askClaim(a dfugate.AskClaim) {
 	r := d.pending[a.ID]
-	if r == nil {
+	remaining := r.event.Remaining - d.deps.Clock.Now().Sub(r.arrived)
+	d.deps.Claims.Claim(a.ID, a.Service, a.Key, remaining, func(v Verdict) { go d.decide(a.ID, v) })
+}
+
+// decide takes the verdict on a claim.
+func (d *Duty) decide(id dfuident.RequestID, v Verdict) {
+	if v.Granted {
+		d.Notify(dfugate.ClaimGranted{ID: id})
 		return
 	}
-	remaining := r.event.Remaining - d.deps.Clock.Now().Sub(r.arrived)
-	d.deps.Claims.Claim(a.ID, a.Service, a.Key, remaining, func(v Verdict) {
-		var in input = denied{dfugate.ClaimDenied{ID: a.ID, Outcome: v.Outcome, Reason: v.Reason}, v.Answer}
-		if v.Granted {
-			in = plain{dfugate.ClaimGranted{ID: a.ID}}
-		}
-		for !d.inputs.Offer(in) {
-			time.Sleep(time.Millisecond)
-		}
-	})
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r := d.pending[id]; r != nil && v.Answer != nil {
+		r.answer = *v.Answer
+	}
+	d.step(dfugate.ClaimDenied{ID: id, Outcome: v.Outcome, Reason: v.Reason})
 }
 
 // conclude gives the offer its one reply.
@@ -348,7 +350,7 @@
 			zap.String("service", string(r.event.Service)),
 			zap.String("outcome", string(outcome)), zap.String("reason", string(reason)))
 	}
-	r.reply <- reply
+	r.wake <- order{reply: reply}
 }
 
 // settleClaim tells the claims that a granted request ran.
@@ -371,23 +373,7 @@
 			reply.Reply = &dfumessage.Reply{ID: a.ID, Outcome: dfuoutcome.Unknown, Reason: a.Reason}
 		}
 	}
-	for _, ch := range d.seals[a.ID] {
-		ch <- reply
-	}
-	delete(d.seals, a.ID)
-}
-
-// abandon answers what is left when the process stops: a request that the
-// target has may have run, any other has not and never will.
-func (d *Duty) abandon() {
-	for id, r := range d.pending {
-		outcome := dfuoutcome.NotRun
-		if r.cancel != nil {
-			outcome = dfuoutcome.Unknown
-			r.cancel()
-		}
-		d.conclude(id, outcome, dfuoutcome.ReasonDraining)
-	}
+	d.seal = reply
 }
 
 func (d *Duty) load() dfumessage.Load {
@@ -441,28 +427,3 @@
 func refusal(id dfuident.RequestID, reason dfuoutcome.Reason) *dfumessage.Reply {
 	return &dfumessage.Reply{ID: id, Outcome: dfuoutcome.NotRun, Reason: reason}
 }
-
-func copyCounts(counts map[dfuoutcome.Reason]int64) map[dfuoutcome.Reason]int64 {
-	c := make(map[dfuoutcome.Reason]int64, len(counts))
-	for reason, n := range counts {
-		c[reason] = n
-	}
-	return c
-}
-
-// await returns what comes on reply, or false if the machine stopped without
-// having taken the input.
-func await[T any](reply <-chan T, stopped <-chan struct{}) (T, bool) {
-	select {
-	case value := <-reply:
-		return value, true
-	case <-stopped:
-	}
-	select {
-	case value := <-reply:
-		return value, true
-	default:
-		var zero T
-		return zero, false
-	}
-}
--- a/io/request/dfudispatch/convert.go
+++ b/io/request/dfudispatch/convert.go
@@ -24,10 +24,10 @@
 	return dfubudget.Allowance(min(max(n, 0), 255))
 }
 
-// sealEnd turns what came of a seal into the input for the machine.
-func sealEnd(id dfuident.RequestID, reply *dfumessage.SealReply, err error) input {
+// sealEnd turns what came of a seal into the event for the machine.
+func sealEnd(id dfuident.RequestID, reply *dfumessage.SealReply, err error) replied {
 	if err != nil || reply.ID != id {
-		return plain{dfuattempt.SealFailed{ID: id}}
+		return replied{id: id, event: dfuattempt.SealFailed{ID: id}}
 	}
 	event := dfuattempt.SealReplied{ID: id, State: gateState(reply.State)}
 	end := replied{id: id}
--- a/io/request/dfudispatch/duty.go
+++ b/io/request/dfudispatch/duty.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"dragonflyusher/core/connection/dfuchoice"
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
-	"dragonflyusher/core/process/dfuring"
 	"dragonflyusher/core/request/dfuattempt"
 	"dragonflyusher/core/request/dfuoutcome"
 	"dragonflyusher/core/version/dfuroster"
@@ -18,18 +18,18 @@
 	"dragonflyusher/io/request/dfumessage"
 	"dragonflyusher/io/request/dfutrace"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 )
 
-// ringSize bounds the inputs that wait for the machine.
-const ringSize = 8192
-
 // Gates reaches the gate beside a target, of this node or another.
 type Gates interface {
-	Offer(ctx context.Context, to dfuroster.Node, offer *dfumessage.Offer) (*dfumessage.Reply, error)
+	// Offer waits for the reply. If ctx ends first it returns
+	// dfupeer.ErrDetached, and late gets what it would have returned.
+	Offer(ctx context.Context, to dfuroster.Node, offer *dfumessage.Offer, late func(*dfumessage.Reply, error)) (*dfumessage.Reply, error)
 	Cancel(ctx context.Context, to dfuroster.Node, cancel dfumessage.Cancel) error
 	Seal(ctx context.Context, to dfuroster.Node, seal dfumessage.Seal) (*dfumessage.SealReply, error)
 }
@@ -58,36 +58,50 @@
 	Machine *dfuattempt.Machine
 }
 
-// Duty runs the entry side of one node.
+// Duty runs the entry side of one node. The machine is stepped under a mutex by
+// whichever goroutine brings the event, and the goroutine that serves a call
+// also sends its first attempt: a goroutine that owned the machine would add a
+// change of goroutine at each of its steps.
 type Duty struct {
-	deps    Deps
-	inputs  *dfuring.Ring[input]
-	stopped chan struct{}
-	view    atomic.Pointer[dfuroster.View]
-	number  atomic.Uint64
-	// The fields below belong to the goroutine of Run.
+	deps     Deps
+	view     atomic.Pointer[dfuroster.View]
+	number   atomic.Uint64
+	outcomes map[dfuoutcome.Outcome]metrics.Counter
+
+	mu       sync.Mutex
+	timer    *time.Timer
+	stopped  bool
 	waiting  map[dfuattempt.RequestNumber]*request
 	attempts map[dfuident.RequestID]*attempt
 	known    *dfuroster.View
 	services map[dfuident.Service]struct{}
-	outcomes map[dfuoutcome.Outcome]metrics.Counter
+	// current is the call whose goroutine steps the machine, which takes its
+	// own attempt rather than starting a goroutine for it.
+	current *request
 }
 
 // request is a call without a result yet.
 type request struct {
-	call    dfufront.Call
-	event   dfuattempt.Arrived
-	span    trace.Span
-	reply   chan dfufront.Result
-	arrived time.Time
-	sent    []dfuident.RequestID
-	bulk    bool
+	call  dfufront.Call
+	event dfuattempt.Arrived
+	span  trace.Span
+	reply chan dfufront.Result
+	sent  []dfuident.RequestID
+	bulk  bool
+	// own is the attempt that the call's goroutine is to send itself.
+	own *outgoing
+}
+
+// outgoing is an offer about to be sent.
+type outgoing struct {
+	ctx   context.Context
+	to    dfuroster.Node
+	offer *dfumessage.Offer
 }
 
 // attempt is one offer under way.
 type attempt struct {
 	to     dfuroster.Node
-	number int
 	cancel context.CancelFunc
 	span   trace.Span
 	answer *dfumessage.Answer
@@ -95,12 +109,10 @@
 	lost bool
 }
 
-// New returns a duty that does nothing until Run.
+// New returns a duty that knows no targets.
 func New(deps Deps) *Duty {
 	d := &Duty{
 		deps:     deps,
-		inputs:   dfuring.New[input](ringSize),
-		stopped:  make(chan struct{}),
 		waiting:  map[dfuattempt.RequestNumber]*request{},
 		attempts: map[dfuident.RequestID]*attempt{},
 		known:    dfuroster.New(),
@@ -108,6 +120,7 @@
 		outcomes: map[dfuoutcome.Outcome]metrics.Counter{},
 	}
 	d.view.Store(d.known)
+	d.timer = time.AfterFunc(time.Hour, func() { d.notify(dfuattempt.Tick{}) })
 	for _, o := range []dfuoutcome.Outcome{dfuoutcome.Answered, dfuoutcome.NotRun, dfuoutcome.Unknown} {
 		d.outcomes[o] = metrics.GetOrRegisterCounter("entry."+string(o), deps.Metrics)
 	}
@@ -116,37 +129,60 @@
 
 // SetView puts a new view of the fleet in force.
 func (d *Duty) SetView(view *dfuroster.View) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.view.Store(view)
-	d.push(viewed{view})
+	d.setTargets(view)
 }
 
 // Serve implements dfufront.Entry.
-func (d *Duty) Serve(call dfufront.Call, gone <-chan struct{}) dfufront.Result {
+func (d *Duty) Serve(call dfufront.Call, watch func(gone func()) (stop func())) dfufront.Result {
 	event, refused := d.admit(&call)
 	if refused != nil {
 		return *refused
 	}
 	span, traceparent := d.deps.Tracer.Start(call.Traceparent, "entry")
 	call.Traceparent = traceparent
-	in := arrived{event: event, call: call, span: span, reply: make(chan dfufront.Result, 1)}
-	if !d.inputs.Offer(in) {
-		span.End()
-		return notRun(dfuoutcome.ReasonEntryOverloaded, "")
+	r := &request{call: call, event: event, span: span, reply: make(chan dfufront.Result, 1)}
+	stop := watch(func() { d.notify(dfuattempt.CallerGone{Request: event.Request}) })
+	defer stop()
+	if own := d.arrive(r); own != nil {
+		d.offer(own)
 	}
-	return d.await(in, gone)
+	return <-r.reply
 }
 
-func (d *Duty) await(in arrived, gone <-chan struct{}) dfufront.Result {
-	for {
-		select {
-		case result := <-in.reply:
-			return result
-		case <-gone:
-			d.push(plain{dfuattempt.CallerGone{Request: in.event.Request}})
-			gone = nil
-		case <-d.stopped:
-			return dfufront.Result{Outcome: dfuoutcome.Unknown, Reason: dfuoutcome.ReasonNodeDraining}
-		}
+// arrive steps the machine with a call and returns its first attempt, if the
+// machine makes one at once.
+func (d *Duty) arrive(r *request) *outgoing {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stopped {
+		r.span.End()
+		r.reply <- notRun(dfuoutcome.ReasonNodeDraining, "")
+		return nil
+	}
+	r.bulk = isBulk(d.known, r.call)
+	d.waiting[r.event.Request] = r
+	d.current = r
+	d.step(r.event)
+	d.current = nil
+	own := r.own
+	r.own = nil
+	return own
+}
+
+// Close gives every call that is left its outcome.
+func (d *Duty) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stopped = true
+	d.timer.Stop()
+	for _, r := range d.waiting {
+		r.reply <- dfufront.Result{Outcome: dfuoutcome.Unknown, Reason: dfuoutcome.ReasonNodeDraining}
+	}
+	for id := range d.attempts {
+		d.endAttempt(id)
 	}
 }
 
@@ -192,66 +228,21 @@
 	return event, nil
 }
 
-// Run steps the machine until ctx ends.
-func (d *Duty) Run(ctx context.Context) {
-	timer := time.NewTimer(time.Hour)
-	defer timer.Stop()
-	for {
-		d.arm(timer)
-		select {
-		case <-ctx.Done():
-			close(d.stopped)
-			return
-		case in := <-d.inputs.Items():
-			d.take(in)
-		case <-timer.C:
-			d.step(dfuattempt.Tick{})
-		}
-	}
+// notify gives the machine an event.
+func (d *Duty) notify(event dfuattempt.Event) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.step(event)
 }
 
-// arm sets the timer to the machine's next deadline.
-func (d *Duty) arm(timer *time.Timer) {
-	due, ok := d.deps.Machine.Next()
-	if !ok {
-		timer.Stop()
-		return
-	}
-	timer.Reset(max(due.Sub(d.deps.Clock.Now()), dfuclock.Millisecond).Std())
-}
-
-// push gives the goroutine of Run an input that must not be lost.
-func (d *Duty) push(in input) {
-	for !d.inputs.Offer(in) {
-		select {
-		case <-d.stopped:
-			return
-		case <-time.After(time.Millisecond):
-		}
-	}
-}
-
-func (d *Duty) take(in input) {
-	switch in := in.(type) {
-	case arrived:
-		d.waiting[in.event.Request] = &request{call: in.call, event: in.event, span: in.span, reply: in.reply, arrived: time.Now(), bulk: isBulk(d.known, in.call)}
-		d.step(in.event)
-	case replied:
-		d.takeReply(in)
-	case plain:
-		d.step(in.event)
-	case viewed:
-		d.setTargets(in.view)
-	case inspected:
-		in.reply <- len(d.waiting)
-	}
-}
-
-// takeReply keeps the attempt of a lost link, whose answer a seal may bring.
+// takeReply gives the machine the end of an attempt with the target's answer,
+// if there is one. The attempt of a lost link is kept, because a seal may bring
+// its answer.
 func (d *Duty) takeReply(in replied) {
 	_, lost := in.event.(dfuattempt.LinkLost)
-	a := d.attempts[in.id]
-	if a != nil {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if a := d.attempts[in.id]; a != nil {
 		a.answer = in.answer
 		a.lost = a.lost || lost
 	}
@@ -261,10 +252,19 @@
 	}
 }
 
+// step gives the machine an event, carries out its actions and sets the timer
+// to its next deadline. The mutex is held.
 func (d *Duty) step(event dfuattempt.Event) {
-	for _, action := range d.deps.Machine.Step(d.deps.Clock.Now(), event) {
+	if d.stopped {
+		return
+	}
+	now := d.deps.Clock.Now()
+	for _, action := range d.deps.Machine.Step(now, event) {
 		d.act(action)
 	}
+	if due, ok := d.deps.Machine.Next(); ok {
+		d.timer.Reset(max(due.Sub(now), dfuclock.Millisecond).Std())
+	}
 }
 
 func (d *Duty) act(action dfuattempt.Action) {
@@ -287,7 +287,7 @@
 	r := d.waiting[a.Request]
 	node, ok := d.known.Node(a.To.Node)
 	if r == nil || !ok || node.Member != a.To {
-		go d.push(replied{id: a.ID, event: dfuattempt.NotSent{ID: a.ID}})
+		go d.takeReply(replied{id: a.ID, event: dfuattempt.NotSent{ID: a.ID}})
 		return
 	}
 	span, traceparent := d.deps.Tracer.Start(r.call.Traceparent, "attempt")
@@ -301,8 +301,13 @@
 	)
 	ctx, cancel := context.WithCancel(context.Background())
 	r.sent = append(r.sent, a.ID)
-	d.attempts[a.ID] = &attempt{to: node, number: a.Attempt, cancel: cancel, span: span}
-	go d.offer(ctx, node, newOffer(a, r, traceparent))
+	d.attempts[a.ID] = &attempt{to: node, cancel: cancel, span: span}
+	out := &outgoing{ctx: ctx, to: node, offer: newOffer(a, r, traceparent)}
+	if r == d.current && r.own == nil {
+		r.own = out
+		return
+	}
+	go d.offer(out)
 }
 
 func newOffer(a dfuattempt.Send, r *request, traceparent string) *dfumessage.Offer {
@@ -326,10 +331,16 @@
 	}
 }
 
-// offer waits for the reply to one attempt.
-func (d *Duty) offer(ctx context.Context, to dfuroster.Node, offer *dfumessage.Offer) {
-	reply, err := d.deps.Gates.Offer(ctx, to, offer)
-	d.push(endOf(offer.ID, reply, err))
+// offer sends one attempt and waits for its reply, or until its request has its
+// outcome.
+func (d *Duty) offer(out *outgoing) {
+	take := func(reply *dfumessage.Reply, err error) {
+		d.takeReply(endOf(out.offer.ID, reply, err))
+	}
+	reply, err := d.deps.Gates.Offer(out.ctx, out.to, out.offer, take)
+	if !errors.Is(err, dfupeer.ErrDetached) {
+		take(reply, err)
+	}
 }
 
 // endOf turns what came of an offer into the machine's event. A reply under
@@ -396,7 +407,7 @@
 func (d *Duty) sendSeal(a dfuattempt.SendSeal) {
 	node, ok := d.known.Node(a.To.Node)
 	if !ok || node.Member != a.To {
-		go d.push(plain{dfuattempt.SealFailed{ID: a.ID, Gone: ok}})
+		go d.notify(dfuattempt.SealFailed{ID: a.ID, Gone: ok})
 		return
 	}
 	d.deps.Log.Info("seal sent", zap.Stringer("request_id", a.ID), zap.Stringer("to", a.To))
@@ -404,7 +415,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), sealLimit)
 		defer cancel()
 		reply, err := d.deps.Gates.Seal(ctx, node, dfumessage.Seal{ID: a.ID, To: a.To})
-		d.push(sealEnd(a.ID, reply, err))
+		d.takeReply(sealEnd(a.ID, reply, err))
 	}()
 }
 
@@ -435,12 +446,22 @@
 			zap.String("outcome", string(a.Outcome)), zap.String("reason", string(a.Reason)),
 			zap.Int("attempts", a.Attempts))
 	}
+	d.release(r)
+	r.reply <- result
+}
+
+// release ends what waits for the attempts of a request that has its outcome.
+func (d *Duty) release(r *request) {
 	for _, id := range r.sent {
-		if at := d.attempts[id]; at != nil && at.lost {
+		a := d.attempts[id]
+		switch {
+		case a == nil:
+		case a.lost:
 			d.endAttempt(id)
+		default:
+			a.cancel()
 		}
 	}
-	r.reply <- result
 }
 
 // setTargets tells the chooser about the services whose nodes have changed.
