--- a/core/request/dfugate/machine.go
+++ b/core/request/dfugate/machine.go
@@ -234,6 +234,10 @@
 }
 
 func (m *Machine) offer(now dfuclock.Time, o Offer) {
+	if !o.To.IsZero() && o.To != m.self {
+		m.refuseStale(o.ID)
+		return
+	}
 	if _, ok := m.live[o.ID]; ok {
 		m.log(LogDuplicateOffer, o.ID)
 		return
@@ -246,9 +250,8 @@
 	if e != nil {
 		e.settle(o.Settled)
 	}
-	strayed := !o.To.IsZero() && o.To != m.self
-	if strayed || e == nil || o.ID.Sequence < e.floor {
-		m.emit(Refuse{ID: o.ID, Outcome: dfuoutcome.Unknown, Reason: dfuoutcome.ReasonStaleRequest})
+	if e == nil || o.ID.Sequence < e.floor {
+		m.refuseStale(o.ID)
 		return
 	}
 	r := m.newRecord(now, o)
@@ -267,6 +270,12 @@
 	m.emit(AskClaim{ID: r.id, Service: r.service, Key: r.key})
 }
 
+// refuseStale refuses an offer that may have run before, so that it doesn't run
+// again, and swears nothing about it.
+func (m *Machine) refuseStale(id dfuident.RequestID) {
+	m.emit(Refuse{ID: id, Outcome: dfuoutcome.Unknown, Reason: dfuoutcome.ReasonStaleRequest})
+}
+
 // offerDecided answers the first offer of an id that was sealed or canceled
 // before it arrived. An id that was answered isn't answered again.
 func (m *Machine) offerDecided(id dfuident.RequestID, v verdict) {
