core/request/dfugate, core/request/dfuattempt: split the machines by concept

Change: one file per concept; next leaves the request in the queue, so that refuse takes it off wherever it stands.

--- /dev/null
+++ b/core/request/dfuattempt/arrive.go
@@ -0,0 +1,71 @@
+package dfuattempt
+
+import (
+	"container/heap"
+
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/request/dfuoutcome"
+)
+
+func (m *Machine) arrived(now dfuclock.Time, e Arrived) {
+	if m.requests[e.Request] != nil {
+		m.emit(Log{Kind: LogDuplicateArrival, Request: e.Request})
+		return
+	}
+	if len(m.requests) >= m.cfg.RequestsMax {
+		m.emit(Finish{Request: e.Request, Outcome: dfuoutcome.NotRun, Reason: dfuoutcome.ReasonEntryOverloaded})
+		return
+	}
+	r := &request{
+		number:     e.Request,
+		service:    e.Service,
+		caller:     e.Caller,
+		key:        e.Key,
+		idempotent: e.Idempotent,
+		deadline:   now.Add(e.Remaining),
+		body:       e.Body,
+		allowance:  e.Allowance,
+		owner:      e.Owner,
+	}
+	r.due = r.deadline
+	m.requests[r.number] = r
+	heap.Push(&m.timers, r)
+	m.supersede(now, r)
+	m.budget.Earn(r.service, r.caller)
+	if !m.send(now, r, SendFirst) {
+		m.finish(now, r, dfuident.RequestID{}, r.unanswered(), r.reason)
+		return
+	}
+	m.planHedge(now, r, e.Hedge)
+}
+
+// supersede abandons an older idempotent request with the same key.
+func (m *Machine) supersede(now dfuclock.Time, r *request) {
+	if !r.idempotent || r.key == "" {
+		return
+	}
+	if older := m.byKey[r.supersedeKey()]; older != nil {
+		m.abandon(now, older, dfuoutcome.ReasonSuperseded)
+	}
+	m.byKey[r.supersedeKey()] = r
+}
+
+func (r *request) supersedeKey() supersedeKey {
+	return supersedeKey{service: r.service, caller: r.caller, key: r.key}
+}
+
+// planHedge sets the time of a second attempt. The owner of a request that is
+// bound to one can't be hedged.
+func (m *Machine) planHedge(now dfuclock.Time, r *request, asked bool) {
+	if !asked || !r.idempotent || !r.owner.IsZero() {
+		return
+	}
+	wait, ok := m.chooser.HedgeAfter(m.query(now, r))
+	if !ok {
+		return
+	}
+	r.hedge = true
+	r.hedgeAt = now.Add(wait)
+	m.schedule(r)
+}
--- /dev/null
+++ b/core/request/dfuattempt/reply.go
@@ -0,0 +1,105 @@
+package dfuattempt
+
+import (
+	"slices"
+
+	"dragonflyusher/core/connection/dfuchoice"
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/request/dfuoutcome"
+)
+
+func (m *Machine) replied(now dfuclock.Time, a *attempt, e Replied) {
+	switch e.Outcome {
+	case dfuoutcome.Answered:
+		kind := dfuchoice.FeedbackAnswered
+		if e.TargetError {
+			kind = dfuchoice.FeedbackTargetError
+		}
+		m.report(now, a, dfuchoice.Feedback{Kind: kind, Load: e.Load})
+		m.finish(now, a.request, a.id, dfuoutcome.Answered, dfuoutcome.ReasonNone)
+	case dfuoutcome.NotRun:
+		m.report(now, a, dfuchoice.Feedback{Kind: dfuchoice.FeedbackRefused, Load: e.Load})
+		if final(e.Reason) || !a.request.owner.IsZero() {
+			m.drop(a)
+			m.conclude(now, a.request, e.Reason)
+			return
+		}
+		m.proven(now, a, SendRefused, e.Reason)
+	default:
+		m.report(now, a, dfuchoice.Feedback{Kind: unknownKind(e.Reason), Load: e.Load})
+		if e.RetriedBelow {
+			a.request.allowance = 0
+		}
+		m.ended(now, a, e.Reason)
+	}
+}
+
+// unknownKind returns what an unknown outcome tells about the target.
+func unknownKind(reason dfuoutcome.Reason) dfuchoice.FeedbackKind {
+	switch reason {
+	case dfuoutcome.ReasonTargetDied, dfuoutcome.ReasonTargetLinkLost:
+		return dfuchoice.FeedbackTargetError
+	case dfuoutcome.ReasonDeadline, dfuoutcome.ReasonCanceled, dfuoutcome.ReasonSuperseded:
+		return dfuchoice.FeedbackCanceled
+	default:
+		return dfuchoice.FeedbackRefused
+	}
+}
+
+// final reports whether another target would refuse for the same reason.
+func final(reason dfuoutcome.Reason) bool {
+	switch reason {
+	case dfuoutcome.ReasonCrashSuspect, dfuoutcome.ReasonAlreadyRun, dfuoutcome.ReasonKeyRunning,
+		dfuoutcome.ReasonKeyMissing, dfuoutcome.ReasonKeyTooOld, dfuoutcome.ReasonKeyFromFuture,
+		dfuoutcome.ReasonNotOwner, dfuoutcome.ReasonNoCopy, dfuoutcome.ReasonOwnerLost,
+		dfuoutcome.ReasonDeadline, dfuoutcome.ReasonBadRequest, dfuoutcome.ReasonAnswerTooLarge:
+		return true
+	default:
+		return false
+	}
+}
+
+// proven drops an attempt that provably never ran and tries elsewhere.
+func (m *Machine) proven(now dfuclock.Time, a *attempt, retry SendReason, reason dfuoutcome.Reason) {
+	r := a.request
+	m.drop(a)
+	if !r.unproven {
+		r.reason = reason
+	}
+	if r.mayRepeat() && m.send(now, r, retry) {
+		return
+	}
+	m.conclude(now, r, r.reason)
+}
+
+// ended drops an attempt that may have run without an answer.
+func (m *Machine) ended(now dfuclock.Time, a *attempt, reason dfuoutcome.Reason) {
+	r := a.request
+	m.drop(a)
+	r.unproven = true
+	r.reason = reason
+	if r.mayRepeat() && m.send(now, r, SendTargetDied) {
+		return
+	}
+	m.conclude(now, r, r.reason)
+}
+
+// conclude finishes a request that has no live attempt left.
+func (m *Machine) conclude(now dfuclock.Time, r *request, reason dfuoutcome.Reason) {
+	if len(r.live) > 0 {
+		m.schedule(r)
+		return
+	}
+	m.finish(now, r, dfuident.RequestID{}, r.unanswered(), reason)
+}
+
+// mayRepeat reports whether another attempt is safe and of use: no attempt has
+// a working link, and if the request isn't idempotent, each has provably not
+// run and never will.
+func (r *request) mayRepeat() bool {
+	if !r.idempotent {
+		return len(r.live) == 0 && !r.unproven
+	}
+	return !slices.ContainsFunc(r.live, func(a *attempt) bool { return !a.sealing })
+}
--- /dev/null
+++ b/core/request/dfuattempt/seal.go
@@ -0,0 +1,48 @@
+package dfuattempt
+
+import (
+	"dragonflyusher/core/connection/dfuchoice"
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/request/dfugate"
+	"dragonflyusher/core/request/dfuoutcome"
+)
+
+func (m *Machine) linkLost(now dfuclock.Time, a *attempt) {
+	m.report(now, a, dfuchoice.Feedback{Kind: dfuchoice.FeedbackLinkFailed})
+	a.sealing = true
+	m.emit(SendSeal{ID: a.id, To: a.to})
+	r := a.request
+	r.reason = dfuoutcome.ReasonPeerUnreachable
+	if r.mayRepeat() {
+		m.send(now, r, SendLinkLost)
+	}
+}
+
+func (m *Machine) sealReplied(now dfuclock.Time, a *attempt, e SealReplied) {
+	switch e.State {
+	case dfugate.SealNever, dfugate.SealWithdrawn:
+		m.proven(now, a, SendSealed, dfuoutcome.ReasonPeerUnreachable)
+	case dfugate.SealRunning:
+		m.sealLater(now, a)
+	case dfugate.SealFinished:
+		if e.Outcome == dfuoutcome.Answered && e.Answer {
+			m.finish(now, a.request, a.id, dfuoutcome.Answered, dfuoutcome.ReasonNone)
+			return
+		}
+		m.ended(now, a, e.Reason)
+	}
+}
+
+func (m *Machine) sealFailed(now dfuclock.Time, a *attempt, e SealFailed) {
+	if e.Gone {
+		m.ended(now, a, dfuoutcome.ReasonPeerUnreachable)
+		return
+	}
+	m.sealLater(now, a)
+}
+
+func (m *Machine) sealLater(now dfuclock.Time, a *attempt) {
+	a.sealAt = now.Add(a.sealWait)
+	a.sealWait = min(2*a.sealWait, m.cfg.SealWaitMax)
+	m.schedule(a.request)
+}
--- /dev/null
+++ b/core/request/dfuattempt/send.go
@@ -0,0 +1,99 @@
+package dfuattempt
+
+import (
+	"dragonflyusher/core/connection/dfuchoice"
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/request/dfuoutcome"
+)
+
+// send makes an attempt and reports whether it did; otherwise r.reason tells
+// why not.
+func (m *Machine) send(now dfuclock.Time, r *request, reason SendReason) bool {
+	remaining := r.deadline.Sub(now) - m.cfg.ReplyReserve
+	if remaining <= 0 {
+		r.reason = dfuoutcome.ReasonDeadline
+		return false
+	}
+	choice, ok := m.choose(now, r, reason)
+	if !ok {
+		return false
+	}
+	r.sent++
+	a := &attempt{
+		id:       dfuident.RequestID{Entry: m.self, Sequence: m.sequence},
+		to:       choice.Member,
+		request:  r,
+		sent:     now,
+		sealWait: m.cfg.SealWait,
+	}
+	m.sequence++
+	m.attempts.add(a)
+	r.live = append(r.live, a)
+	r.excluded = append(r.excluded, a.to.Node)
+	m.chooser.Sent(now, a.to)
+	m.emit(Send{
+		ID:        a.id,
+		Request:   r.number,
+		To:        a.to,
+		Remaining: remaining,
+		Attempt:   r.sent,
+		Reason:    reason,
+		Choice:    choice.Reason,
+		Allowance: r.allowance,
+		Settled:   m.Settled(),
+	})
+	return true
+}
+
+// choose picks a target and, for an extra attempt, charges for it.
+func (m *Machine) choose(now dfuclock.Time, r *request, reason SendReason) (dfuchoice.Choice, bool) {
+	choice := dfuchoice.Choice{Member: r.owner}
+	if r.owner.IsZero() {
+		var ok bool
+		choice, ok = m.chooser.Choose(now, m.query(now, r))
+		if !ok {
+			r.keepReason(dfuoutcome.ReasonNoTarget)
+			return choice, false
+		}
+	}
+	if reason == SendHedge && paid(choice.Reason) {
+		return choice, false
+	}
+	return choice, reason == SendFirst || m.charge(r)
+}
+
+func (m *Machine) query(now dfuclock.Time, r *request) dfuchoice.Query {
+	return dfuchoice.Query{
+		Service:    r.service,
+		From:       m.place,
+		Remaining:  r.deadline.Sub(now),
+		Idempotent: r.idempotent,
+		Body:       r.body,
+		Excluded:   r.excluded,
+		Attempt:    r.sent,
+	}
+}
+
+// paid reports whether a choice crosses the link between the regions.
+func paid(reason dfuchoice.ChoiceReason) bool {
+	return reason == dfuchoice.ReasonSpillover || reason == dfuchoice.ReasonFarRegion
+}
+
+// charge takes an extra attempt off the allowance and the budget.
+func (m *Machine) charge(r *request) bool {
+	allowance, ok := r.allowance.Extra(false)
+	if !ok || !m.budget.Take(r.service, r.caller) {
+		r.keepReason(dfuoutcome.ReasonRetryBudget)
+		return false
+	}
+	r.allowance = allowance
+	return true
+}
+
+// keepReason sets the reason unless an attempt has already given a better one.
+func (r *request) keepReason(reason dfuoutcome.Reason) {
+	if r.reason == dfuoutcome.ReasonNone {
+		r.reason = reason
+	}
+}
--- /dev/null
+++ b/core/request/dfugate/dispatch.go
@@ -0,0 +1,58 @@
+package dfugate
+
+import (
+	"container/heap"
+	"slices"
+
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/request/dfuoutcome"
+)
+
+// dispatch hands waiting requests to the target while slots are free. A
+// deadline is checked once more right here, since this process may have been
+// paused for any length of time.
+func (m *Machine) dispatch(now dfuclock.Time) {
+	for len(m.running) < m.slots() {
+		suspect := m.suspectRunning(now)
+		r := m.queue.next(func(r *record) bool {
+			return !suspect || !m.crash.Suspected(now, r.fingerprint)
+		})
+		if r == nil {
+			return
+		}
+		switch {
+		case !now.Before(r.deadline):
+			m.refuse(r, dfuoutcome.NotRun, dfuoutcome.ReasonDeadline)
+		case m.crash.Banned(now, r.fingerprint):
+			m.refuse(r, dfuoutcome.NotRun, dfuoutcome.ReasonCrashSuspect)
+		default:
+			m.run(now, r)
+		}
+	}
+}
+
+func (m *Machine) suspectRunning(now dfuclock.Time) bool {
+	return slices.ContainsFunc(m.running, func(r *record) bool {
+		return m.crash.Suspected(now, r.fingerprint)
+	})
+}
+
+func (m *Machine) run(now dfuclock.Time, r *record) {
+	m.queue.remove(r)
+	r.state = stateRunning
+	r.started = now
+	m.running = append(m.running, r)
+	m.emit(RunOnTarget{ID: r.id, Remaining: r.deadline.Sub(now)})
+}
+
+func (m *Machine) expire(now dfuclock.Time) {
+	for len(m.timers) > 0 && !now.Before(m.timers[0].deadline) {
+		r := m.timers[0]
+		if r.state != stateRunning {
+			m.refuse(r, dfuoutcome.NotRun, dfuoutcome.ReasonDeadline)
+			continue
+		}
+		heap.Pop(&m.timers)
+		m.cancelRunning(r, dfuoutcome.ReasonDeadline)
+	}
+}
--- a/core/request/dfugate/queue.go
+++ b/core/request/dfugate/queue.go
@@ -49,8 +49,9 @@
 	q.length++
 }
 
-// pop removes and returns the next request that may run, or nil.
-func (q *queue) pop(may func(*record) bool) *record {
+// next returns the next request that may run, or nil. It ends the turn of the
+// request's caller.
+func (q *queue) next(may func(*record) bool) *record {
 	for i := range q.classes {
 		c := &q.classes[i]
 		for turn, caller := range c.turn {
@@ -60,7 +61,6 @@
 			}
 			copy(c.turn[turn:], c.turn[turn+1:])
 			c.turn[len(c.turn)-1] = caller
-			q.remove(r)
 			return r
 		}
 	}
