core/request/dfugate: name service and key when a claim is given back

Cause: a claim that is granted after its request was refused is given back when the daemon has already let go of the request, so the id alone is of no use.

--- a/core/request/dfuattempt/seal.go
+++ b/core/request/dfuattempt/seal.go
@@ -1,6 +1,8 @@
 package dfuattempt
 
 import (
+	"cmp"
+
 	"dragonflyusher/core/connection/dfuchoice"
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/request/dfugate"
@@ -29,7 +31,7 @@
 			m.finish(now, a.request, a.id, dfuoutcome.Answered, dfuoutcome.ReasonNone)
 			return
 		}
-		m.ended(now, a, e.Reason)
+		m.ended(now, a, cmp.Or(e.Reason, dfuoutcome.ReasonPeerUnreachable))
 	}
 }
 
--- a/core/request/dfugate/action.go
+++ b/core/request/dfugate/action.go
@@ -31,9 +31,12 @@
 	Key     dfuident.Key
 }
 
-// ReleaseClaim gives back the claim of a request that did not run.
+// ReleaseClaim gives back the claim of a request that did not run. It may come
+// after the Refuse, if the claim is granted only then.
 type ReleaseClaim struct {
-	ID dfuident.RequestID
+	ID      dfuident.RequestID
+	Service dfuident.Service
+	Key     dfuident.Key
 }
 
 // Refuse answers an offer that was not run, or that the gate can't run because
--- a/core/request/dfugate/claim.go
+++ b/core/request/dfugate/claim.go
@@ -5,9 +5,9 @@
 )
 
 func (m *Machine) claimGranted(id dfuident.RequestID) {
-	if _, ok := m.unwanted[id]; ok {
+	if release, ok := m.unwanted[id]; ok {
 		delete(m.unwanted, id)
-		m.emit(ReleaseClaim{ID: id})
+		m.emit(release)
 		return
 	}
 	r := m.live[id]
@@ -33,8 +33,12 @@
 
 // disown makes sure that the claim of a request that is refused while it waits
 // for the claim is given back, should it be granted.
-func (m *Machine) disown(id dfuident.RequestID) {
+func (m *Machine) disown(r *record) {
 	if len(m.unwanted) < m.cfg.VerdictsMax {
-		m.unwanted[id] = struct{}{}
+		m.unwanted[r.id] = r.release()
 	}
 }
+
+func (r *record) release() ReleaseClaim {
+	return ReleaseClaim{ID: r.id, Service: r.service, Key: r.key}
+}
--- a/core/request/dfugate/decide.go
+++ b/core/request/dfugate/decide.go
@@ -15,7 +15,7 @@
 	switch r.state {
 	case stateClaiming:
 		m.claiming--
-		m.disown(r.id)
+		m.disown(r)
 	case stateQueued:
 		m.queue.remove(r)
 	case stateRunning:
@@ -23,7 +23,7 @@
 	}
 	m.forget(r, verdict{outcome: outcome, reason: reason, offered: true})
 	if r.claimed {
-		m.emit(ReleaseClaim{ID: r.id})
+		m.emit(r.release())
 	}
 	m.emit(Refuse{ID: r.id, Outcome: outcome, Reason: reason})
 }
--- a/core/request/dfugate/event.go
+++ b/core/request/dfugate/event.go
@@ -54,8 +54,8 @@
 // Seal asks what became of a request, and forbids it to start from now on.
 type Seal struct {
 	ID dfuident.RequestID
-	// To is the run of the node that the request was offered to. A later run
-	// has forgotten what ran, so it swears nothing.
+	// To is the run of the node that the request was offered to; zero means
+	// this one. A later run has forgotten what ran, so it swears nothing.
 	To dfuident.Member
 }
 
--- a/core/request/dfugate/machine.go
+++ b/core/request/dfugate/machine.go
@@ -57,8 +57,9 @@
 
 	live     map[dfuident.RequestID]*record
 	claiming int
-	// unwanted holds ids that were refused while their claim was asked for.
-	unwanted map[dfuident.RequestID]struct{}
+	// unwanted holds what to do if the claim of an id is granted that was
+	// refused while its claim was asked for.
+	unwanted map[dfuident.RequestID]ReleaseClaim
 	queue    *queue
 	running  []*record
 	timers   timers
@@ -129,7 +130,7 @@
 		limits:   cfg.Limits,
 		crash:    dfucrash.New(cfg.Crash),
 		live:     make(map[dfuident.RequestID]*record),
-		unwanted: make(map[dfuident.RequestID]struct{}),
+		unwanted: make(map[dfuident.RequestID]ReleaseClaim),
 		queue:    newQueue(),
 		ledger:   newLedger(cfg.VerdictsMax, cfg.EntriesMax),
 	}
--- a/core/request/dfugate/offer.go
+++ b/core/request/dfugate/offer.go
@@ -11,7 +11,7 @@
 )
 
 func (m *Machine) offer(now dfuclock.Time, o Offer) {
-	if !o.To.IsZero() && o.To != m.self {
+	if m.former(o.To) {
 		m.refuseStale(o.ID)
 		return
 	}
--- a/core/request/dfugate/withdraw.go
+++ b/core/request/dfugate/withdraw.go
@@ -28,7 +28,7 @@
 
 func (m *Machine) seal(now dfuclock.Time, e Seal) {
 	id := e.ID
-	if e.To != m.self {
+	if m.former(e.To) {
 		m.answerSeal(id, verdict{outcome: dfuoutcome.Unknown, reason: dfuoutcome.ReasonStaleRequest})
 		return
 	}
@@ -67,3 +67,8 @@
 	m.decide(id, v)
 	return v
 }
+
+// former reports whether something was addressed to another run of this node.
+func (m *Machine) former(to dfuident.Member) bool {
+	return !to.IsZero() && to != m.self
+}
