core/request/dfugate: give no slot to a request that would miss its deadline

Cause: deadline order hands a free slot to the request with least time left, also if a run takes longer than that; its slot time is wasted. Change: while another request waits, one with less time left than the mean run is refused as deadline_too_short; the last one waiting runs all the same.

--- a/core/request/dfugate/dispatch.go
+++ b/core/request/dfugate/dispatch.go
@@ -23,6 +23,8 @@
 		switch {
 		case !now.Before(r.deadline):
 			m.refuse(r, dfuoutcome.NotRun, dfuoutcome.ReasonDeadline)
+		case m.hopeless(now, r):
+			m.refuse(r, dfuoutcome.NotRun, dfuoutcome.ReasonDeadlineTooShort)
 		case m.crash.Banned(now, r.fingerprint):
 			m.refuse(r, dfuoutcome.NotRun, dfuoutcome.ReasonCrashSuspect)
 		default:
@@ -31,6 +33,13 @@
 	}
 }
 
+// hopeless reports whether a request would probably miss its deadline in a slot
+// that another one waits for. The last one waiting always runs, so that a wrong
+// mean corrects itself.
+func (m *Machine) hopeless(now dfuclock.Time, r *record) bool {
+	return m.queue.length > 1 && r.deadline.Sub(now) < m.service.mean()
+}
+
 func (m *Machine) suspectRunning(now dfuclock.Time) bool {
 	return slices.ContainsFunc(m.running, func(r *record) bool {
 		return m.crash.Suspected(now, r.fingerprint)
