--- a/core/process/dfumembership/lists.go
+++ b/core/process/dfumembership/lists.go
@@ -116,7 +116,7 @@
 // of the region's members ordered by score. Each member is on the ring at its
 // own place, so each is somebody's finger, about as often as every other.
 func (l *lists) chooseFingers(self *member) {
-	slices.SortFunc(l.own, func(a, b *member) int { return compareScores(a, b) })
+	slices.SortFunc(l.own, compareScores)
 	after, _ := slices.BinarySearchFunc(l.own, self, compareScores)
 	for step := 1; step <= len(l.own); step = max(step+1, step*3/2) {
 		l.fingers = append(l.fingers, l.own[(after+step-1)%len(l.own)])
@@ -145,10 +145,10 @@
 	return l.rank, l.zoneSize
 }
 
-// Joined reports whether the node knows what others know: another has told it,
-// or the zone pages list no other of its region.
+// Joined reports whether the node knows what others know: one that does has
+// told it, or there is none.
 func (m *Machine) Joined() bool {
-	return m.sync.joined || !slices.ContainsFunc(m.seeds, func(c Contact) bool { return c.Region == m.region })
+	return m.sync.joined || m.sync.alone
 }
 
 // pick returns a random member of a list for which keep is true, or nil.
--- a/core/process/dfumembership/machine.go
+++ b/core/process/dfumembership/machine.go
@@ -42,6 +42,9 @@
 	// SeedPeriod is the time between two tries to reach a member that the
 	// zone pages list but that isn't known to live.
 	SeedPeriod dfuclock.Duration
+	// JoinPeriod is how long a node looks for one that has joined before it
+	// counts as joined itself.
+	JoinPeriod dfuclock.Duration
 	// DeadRetention is how long the dead are remembered.
 	DeadRetention dfuclock.Duration
 	// RegionFailures is the number of failed probes in a row after which a
@@ -68,6 +71,7 @@
 		SyncUpdates:      256,
 		SettlePeriod:     2 * dfuclock.Second,
 		SeedPeriod:       5 * dfuclock.Second,
+		JoinPeriod:       5 * dfuclock.Second,
 		DeadRetention:    10 * dfuclock.Minute,
 		RegionFailures:   4,
 		Members:          4096,
@@ -114,13 +118,14 @@
 	sync  syncState
 	probe probeState
 
-	regions  map[dfuident.Region]*regionState
-	seeds    []Contact
-	seedAt   dfuclock.Time
-	lastTick dfuclock.Time
-	started  bool
-	actions  []Action
-	changed  map[dfuident.NodeID]*member
+	regions   map[dfuident.Region]*regionState
+	seeds     []Seed
+	seedAt    dfuclock.Time
+	lastTick  dfuclock.Time
+	started   bool
+	startedAt dfuclock.Time
+	actions   []Action
+	changed   map[dfuident.NodeID]*member
 }
 
 // member is one member as this node knows it. Its details are never nil.
@@ -165,7 +170,7 @@
 	case Announced:
 		m.announce(now, e)
 	case Seeded:
-		m.seed(now, e.Contacts)
+		m.seed(e.Seeds)
 	}
 	m.reportChanges()
 	return m.actions
@@ -209,6 +214,7 @@
 // nodes that start together don't act together.
 func (m *Machine) start(now dfuclock.Time) {
 	m.started = true
+	m.startedAt = now
 	m.lastTick = now
 	m.probe.next = now.Add(m.jitter(m.cfg.ProbePeriod))
 	m.queue.next = now.Add(m.jitter(m.cfg.GossipPeriod))
--- a/core/process/dfumembership/message.go
+++ b/core/process/dfumembership/message.go
@@ -85,7 +85,7 @@
 	Gossip
 	// SyncRequest asks for the updates in the buckets that differ.
 	SyncRequest
-	// SyncReply answers a SyncRequest.
+	// SyncReply answers a SyncRequest with up to a bounded number of updates.
 	SyncReply
 )
 
@@ -106,7 +106,12 @@
 	// Digest covers the sender's members, in a Ping and an Ack.
 	Digest uint64 `json:"digest,omitempty"`
 	// Buckets are the digests of each bucket, in both kinds of sync.
-	Buckets []uint64       `json:"buckets,omitempty"`
+	Buckets []uint64 `json:"buckets,omitempty"`
+	// Cursor is the score after which a SyncRequest wants members, and after
+	// which the next one should; it is zero in the last SyncReply.
+	Cursor uint64 `json:"cursor,omitempty"`
+	// Joined says that the sender of a SyncReply has joined itself.
+	Joined  bool           `json:"joined,omitempty"`
 	Updates []Update       `json:"updates,omitempty"`
 	Regions []RegionStatus `json:"regions,omitempty"`
 }
@@ -130,8 +135,14 @@
 	Left bool
 }
 
+// Seed is a member that a zone page lists.
+type Seed struct {
+	Contact Contact
+	Zone    dfuident.Zone
+}
+
 // Seeded tells of members that the zone pages list.
-type Seeded struct{ Contacts []Contact }
+type Seeded struct{ Seeds []Seed }
 
 func (Tick) event()      {}
 func (Received) event()  {}
--- a/core/process/dfumembership/sync.go
+++ b/core/process/dfumembership/sync.go
@@ -15,12 +15,16 @@
 	bucketCount = 64
 	// patience times the sync period is how long a difference may stay
 	// while there is always news on its way.
-	patience = 5
+	patience = 15
 )
 
 // syncState holds when digests were last acted upon.
 type syncState struct {
-	joined    bool
+	// joined is set once a member that has joined told all it knows, or if
+	// none did in the time of JoinPeriod.
+	joined bool
+	// alone says that the zone pages list no other of the region.
+	alone     bool
 	next      dfuclock.Time
 	last      dfuclock.Time
 	changedAt dfuclock.Time
@@ -58,7 +62,7 @@
 	case SyncRequest:
 		m.receiveSyncRequest(msg)
 	case SyncReply:
-		m.receiveSyncReply(now, msg)
+		m.receiveSyncReply(msg)
 	case Gossip:
 	}
 }
@@ -70,76 +74,85 @@
 		return
 	}
 	settled := now.Sub(m.sync.changedAt) >= m.cfg.SettlePeriod
-	overdue := now.Sub(m.sync.last) >= patience*m.cfg.SyncPeriod
-	if m.sync.joined && !settled && !overdue {
+	overdue := now.Sub(m.sync.last) >= patience*m.cfg.SyncPeriod && msg.From.Region == m.region
+	if m.Joined() && !settled && !overdue {
 		return
 	}
-	m.requestSync(now, msg.From)
-}
-
-func (m *Machine) requestSync(now dfuclock.Time, to Contact) {
 	m.counts.Syncs++
 	m.sync.last = now
 	m.sync.next = now.Add(m.cfg.SyncPeriod)
+	if !m.Joined() {
+		m.sync.next = now.Add(m.cfg.GossipPeriod)
+	}
+	m.requestSync(msg.From, 0)
+}
+
+func (m *Machine) requestSync(to Contact, cursor uint64) {
 	m.emit(to, Message{
-		Kind: SyncRequest, Buckets: slices.Clone(m.bucketDigests()), Updates: []Update{m.self.wire()},
+		Kind: SyncRequest, Cursor: cursor,
+		Buckets: slices.Clone(m.bucketDigests()), Updates: []Update{m.self.wire()},
 	})
 }
 
 func (m *Machine) receiveSyncRequest(msg Message) {
+	updates, cursor := m.differing(msg, m.cfg.SyncUpdates)
 	m.emit(msg.From, Message{
 		Kind:    SyncReply,
+		Cursor:  cursor,
+		Joined:  m.Joined(),
 		Buckets: slices.Clone(m.bucketDigests()),
-		Updates: m.differing(msg.Buckets, msg.From.Member.Node),
+		Updates: updates,
 		Regions: m.statuses(),
 	})
 }
 
-// receiveSyncReply sends back what the other lacks, and asks on while the
-// reply was too small to hold all that differs.
-func (m *Machine) receiveSyncReply(now dfuclock.Time, msg Message) {
-	m.sync.joined = true
+// receiveSyncReply asks on from the cursor or, if the reply was whole, sends
+// back what the other lacks.
+func (m *Machine) receiveSyncReply(msg Message) {
+	m.sync.joined = m.sync.joined || (msg.Joined && msg.Cursor == 0)
+	if msg.Cursor != 0 {
+		m.requestSync(msg.From, msg.Cursor)
+		return
+	}
 	theirs := make(map[dfuident.NodeID]Update, len(msg.Updates))
 	for _, u := range msg.Updates {
 		theirs[u.Member.Node] = u
 	}
-	whole := len(msg.Updates) < m.cfg.SyncUpdates
 	var lacking []Update
-	for _, u := range m.differing(msg.Buckets, msg.From.Member.Node) {
-		their, ok := theirs[u.Member.Node]
-		if (ok && newer(u, their)) || (!ok && whole) {
+	ours, _ := m.differing(msg, m.cfg.SyncUpdates)
+	for _, u := range ours {
+		if their, ok := theirs[u.Member.Node]; !ok || newer(u, their) {
 			lacking = append(lacking, u)
 		}
 	}
 	if len(lacking) > 0 {
 		m.emit(msg.From, Message{Kind: Gossip, Updates: lacking})
 	}
-	if !whole {
-		m.requestSync(now, msg.From)
-	}
 }
 
-// differing returns the updates of the members in the buckets where another's
-// digests differ, up to the bound. A random start gives all their turn.
-func (m *Machine) differing(theirs []uint64, except dfuident.NodeID) []Update {
+// differing returns the updates of the members after a message's cursor, in
+// the buckets where its digests differ, ordered by score. It returns the next
+// cursor if the bound was met.
+func (m *Machine) differing(msg Message, limit int) (updates []Update, cursor uint64) {
 	ours := m.bucketDigests()
-	start := m.rng.IntN(len(m.order))
-	var updates []Update
-	for i := range m.order {
-		h := m.order[(start+i)%len(m.order)]
-		if h.update.Member.Node == except && h.update.State == Alive {
-			continue
-		}
+	var members []*member
+	for _, h := range m.order {
 		b := h.bucket()
-		if len(theirs) == bucketCount && theirs[b] == ours[b] {
-			continue
+		same := len(msg.Buckets) == bucketCount && msg.Buckets[b] == ours[b]
+		sender := h.update.Member.Node == msg.From.Member.Node && h.update.State == Alive
+		if h.score > msg.Cursor && !same && !sender {
+			members = append(members, h)
 		}
-		updates = append(updates, h.update)
-		if len(updates) >= m.cfg.SyncUpdates {
-			break
+	}
+	slices.SortFunc(members, compareScores)
+	for _, h := range members {
+		if len(updates) >= limit && h.score != cursor {
+			return updates, cursor
 		}
+		updates = append(updates, h.update)
+		cursor = h.score
 	}
-	return updates
+	return updates, 0
 }
 
 func (m *Machine) statuses() []RegionStatus {
@@ -160,11 +173,14 @@
 // stepSeeds tries to reach a member that the zone pages list or that died, so
 // that groups of members that lost each other meet again.
 func (m *Machine) stepSeeds(now dfuclock.Time) {
+	if now.Sub(m.startedAt) >= m.cfg.JoinPeriod {
+		m.sync.joined = true
+	}
 	if now.Before(m.seedAt) {
 		return
 	}
 	m.seedAt = now.Add(m.cfg.SeedPeriod)
-	if !m.sync.joined {
+	if !m.Joined() {
 		m.seedAt = now.Add(m.cfg.ProbePeriod)
 	}
 	if seed, ok := m.pickSeed(); ok {
@@ -177,9 +193,9 @@
 // bridge knows nobody, that isn't known to live.
 func (m *Machine) pickSeed() (Contact, bool) {
 	var unknown []Contact
-	for _, c := range m.seeds {
-		if h, ok := m.members[c.Member.Node]; (!ok || h.update.State == Dead) && m.mayContact(c.Region) {
-			unknown = append(unknown, c)
+	for _, s := range m.seeds {
+		if h, ok := m.members[s.Contact.Member.Node]; (!ok || h.update.State == Dead) && m.mayContact(s.Contact.Region) {
+			unknown = append(unknown, s.Contact)
 		}
 	}
 	for _, h := range m.order {
@@ -206,39 +222,48 @@
 	return l.bridge
 }
 
-// seed takes the members that the zone pages list. A node that knows nobody
-// asks a few of its region for all they know.
-func (m *Machine) seed(now dfuclock.Time, contacts []Contact) {
+// seed takes the members that the zone pages list. The node pings a few of
+// them if it has not joined yet, and one of each zone of which it knows nobody.
+func (m *Machine) seed(seeds []Seed) {
 	m.seeds = m.seeds[:0]
-	for _, c := range contacts {
-		if c.Member.Node != m.self.update.Member.Node && len(m.seeds) < m.cfg.Members {
-			m.seeds = append(m.seeds, c)
+	for _, s := range seeds {
+		if s.Contact.Member.Node != m.self.update.Member.Node && len(m.seeds) < m.cfg.Members {
+			m.seeds = append(m.seeds, s)
 		}
 	}
-	m.pingNewRegions()
-	if m.sync.joined {
-		return
+	m.sync.alone = !m.listsOwnRegion()
+	room := m.cfg.IndirectProbes
+	if m.Joined() {
+		room = 0
 	}
-	asked := 0
+	met := m.knownPlaces()
 	for _, i := range m.rng.Perm(len(m.seeds)) {
-		if m.seeds[i].Region == m.region && asked < m.cfg.IndirectProbes {
-			asked++
-			m.requestSync(now, m.seeds[i])
+		s := m.seeds[i]
+		place := dfuident.Place{Region: s.Contact.Region, Zone: s.Zone}
+		if s.Contact.Region == m.region && room > 0 {
+			room--
+		} else if met[place] || !m.mayContact(s.Contact.Region) {
+			continue
 		}
+		met[place] = true
+		m.probe.sequence++
+		m.ping(s.Contact, m.probe.sequence)
 	}
 }
 
-// pingNewRegions makes a bridge meet regions of which it knows nobody.
-func (m *Machine) pingNewRegions() {
-	met := make(map[dfuident.Region]bool)
-	for _, i := range m.rng.Perm(len(m.seeds)) {
-		c := m.seeds[i]
-		if c.Region != m.region && !met[c.Region] && m.mayContact(c.Region) {
-			met[c.Region] = true
-			m.probe.sequence++
-			m.ping(c, m.probe.sequence)
+func (m *Machine) listsOwnRegion() bool {
+	return slices.ContainsFunc(m.seeds, func(s Seed) bool { return s.Contact.Region == m.region })
+}
+
+// knownPlaces returns the zones in which another member is known to live.
+func (m *Machine) knownPlaces() map[dfuident.Place]bool {
+	known := make(map[dfuident.Place]bool)
+	for _, h := range m.order {
+		if h != m.self && h.reachable() {
+			known[h.update.Details.Place] = true
 		}
 	}
+	return known
 }
 
 func (m *Machine) computeDigests() {
--- a/core/version/dfuroster/keeper.go
+++ b/core/version/dfuroster/keeper.go
@@ -75,7 +75,7 @@
 	case Announced:
 		k.stepMembership(dfumembership.Announced{Target: e.Target, Left: e.Left}, false)
 	case Seeded:
-		k.stepMembership(dfumembership.Seeded{Contacts: e.Contacts}, false)
+		k.stepMembership(dfumembership.Seeded{Seeds: e.Seeds}, false)
 	case StoreAnswered:
 		k.stepExchange(e.Answer, nil)
 	}
--- a/core/version/dfuroster/message.go
+++ b/core/version/dfuroster/message.go
@@ -39,7 +39,7 @@
 }
 
 // Seeded tells whom the zone pages list.
-type Seeded struct{ Contacts []dfumembership.Contact }
+type Seeded struct{ Seeds []dfumembership.Seed }
 
 // StoreAnswered tells what the store returned for a prefix.
 type StoreAnswered struct{ Answer dfurecord.StoreAnswered }
--- a/io/process/dfucontrol/duty.go
+++ b/io/process/dfucontrol/duty.go
@@ -95,18 +95,18 @@
 
 // Run joins and then works until ctx ends.
 func (d *Duty) Run(ctx context.Context) error {
-	incarnation, contacts, err := d.join(ctx)
+	incarnation, seeds, err := d.join(ctx)
 	if err != nil {
 		return err
 	}
 	member := dfuident.Member{Node: d.cfg.Node, Incarnation: incarnation}
 	o := newOwner(d, member)
 	d.member.Store(&member)
-	d.deps.Log.Info("joined", zap.Stringer("member", member), zap.Int("listed", len(contacts)))
+	d.deps.Log.Info("joined", zap.Stringer("member", member), zap.Int("listed", len(seeds)))
 
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
-	wg.Go(func() { _ = d.keepPage(ctx, len(contacts)) })
+	wg.Go(func() { _ = d.keepPage(ctx, len(seeds)) })
 	wg.Go(func() { _ = d.read(ctx) })
 	for _, prefix := range prefixes() {
 		wg.Go(func() { _ = d.watch(ctx, prefix) })
@@ -114,7 +114,7 @@
 	for range d.cfg.Senders {
 		wg.Go(func() { _ = d.send(ctx) })
 	}
-	err = o.run(ctx, contacts)
+	err = o.run(ctx, seeds)
 	cancel()
 	wg.Wait()
 	return err
--- a/io/process/dfucontrol/owner.go
+++ b/io/process/dfucontrol/owner.go
@@ -49,10 +49,10 @@
 const maxSeed = 1 << 50
 
 // run steps the keeper until ctx ends.
-func (o *owner) run(ctx context.Context, contacts []dfumembership.Contact) error {
+func (o *owner) run(ctx context.Context, seeds []dfumembership.Seed) error {
 	ticker := time.NewTicker(o.duty.cfg.Membership.TickPeriod.Std())
 	defer ticker.Stop()
-	o.step(dfuroster.Seeded{Contacts: contacts}, nil)
+	o.step(dfuroster.Seeded{Seeds: seeds}, nil)
 	for {
 		select {
 		case <-ctx.Done():
--- a/io/process/dfucontrol/page.go
+++ b/io/process/dfucontrol/page.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 
 	"dragonflyusher/core/process/dfuclock"
@@ -22,6 +23,8 @@
 	pageSpread = 10 * dfuclock.Millisecond
 	// maxPageSpread bounds that time.
 	maxPageSpread = 2 * dfuclock.Second
+	// foreignPerZone is how many members of each other zone a page lists.
+	foreignPerZone = 2
 )
 
 // pageNode is one node of a zone's page.
@@ -35,12 +38,12 @@
 
 // join reads the zone pages until it succeeds. It returns the members listed
 // and an incarnation above the one that the node's page last held.
-func (d *Duty) join(ctx context.Context) (dfuident.Incarnation, []dfumembership.Contact, error) {
+func (d *Duty) join(ctx context.Context) (dfuident.Incarnation, []dfumembership.Seed, error) {
 	wait := d.newBackoff()
 	for {
 		nodes, err := d.findPeers(ctx)
 		if err == nil {
-			return d.nextIncarnation(nodes), d.contacts(nodes), nil
+			return d.nextIncarnation(nodes), seedsOf(nodes), nil
 		}
 		d.storeFailed("read zone pages", err)
 		if err := wait.sleep(ctx); err != nil {
@@ -85,16 +88,17 @@
 	return incarnation
 }
 
-func (d *Duty) contacts(nodes []pageNode) []dfumembership.Contact {
-	var contacts []dfumembership.Contact
-	for _, n := range nodes {
-		contacts = append(contacts, dfumembership.Contact{
+func seedsOf(nodes []pageNode) []dfumembership.Seed {
+	seeds := make([]dfumembership.Seed, len(nodes))
+	for i, n := range nodes {
+		seeds[i].Zone = n.Place.Zone
+		seeds[i].Contact = dfumembership.Contact{
 			Member:  dfuident.Member{Node: n.Node, Incarnation: n.Incarnation},
 			Region:  n.Place.Region,
 			Address: n.Peer,
-		})
+		}
 	}
-	return contacts
+	return seeds
 }
 
 // readPages returns the nodes of the pages under a prefix. A page that can't
@@ -165,7 +169,7 @@
 		d.storeFailed("read zone pages", err)
 		return false
 	}
-	return d.inbox.Offer(input{event: dfuroster.Seeded{Contacts: d.contacts(nodes)}})
+	return d.inbox.Offer(input{event: dfuroster.Seeded{Seeds: seedsOf(nodes)}})
 }
 
 func (d *Duty) untilWritten(ctx context.Context) error {
@@ -200,7 +204,7 @@
 	}
 	next := mergePage(page, d.View(), d.cfg.Place)
 	if slices.Equal(page, next) {
-		d.inbox.Offer(input{event: dfuroster.Seeded{Contacts: d.contacts(page)}})
+		d.inbox.Offer(input{event: dfuroster.Seeded{Seeds: seedsOf(page)}})
 		return true, nil
 	}
 	value, err := json.Marshal(next)
@@ -214,37 +218,65 @@
 	if _, err = d.deps.Store.CompareAndSwap(ctx, key, expect, value, 0); err != nil {
 		return false, err
 	}
-	d.inbox.Offer(input{event: dfuroster.Seeded{Contacts: d.contacts(next)}})
+	d.inbox.Offer(input{event: dfuroster.Seeded{Seeds: seedsOf(next)}})
 	return true, nil
 }
 
 // mergePage returns the page with the view's live members of the zone at their
 // greatest incarnation, and without the members that the view knows are gone.
+// It also lists a few members of each other zone of the region, for the nodes
+// of a zone that start together know only each other.
 func mergePage(page []pageNode, view *dfuroster.View, place dfuident.Place) []pageNode {
 	byNode := make(map[dfuident.NodeID]pageNode, len(page))
 	for _, n := range page {
 		byNode[n.Node] = n
 	}
-	for _, n := range view.Nodes() {
+	foreign := make(map[dfuident.Place]int)
+	for _, n := range preferListed(view.Nodes(), byNode) {
 		old, listed := byNode[n.Member.Node]
-		if n.Place != place || (listed && old.Incarnation > n.Member.Incarnation) {
+		if listed && old.Incarnation > n.Member.Incarnation {
 			continue
 		}
-		if n.State == dfuroster.Dead || n.State == dfuroster.Left {
-			delete(byNode, n.Member.Node)
-			continue
+		live := n.State != dfuroster.Dead && n.State != dfuroster.Left
+		if n.Place != place {
+			live = live && n.Place.Region == place.Region && foreign[n.Place] < foreignPerZone
+			if live {
+				foreign[n.Place]++
+			}
 		}
-		byNode[n.Member.Node] = pageNode{
-			Node: n.Member.Node, Incarnation: n.Member.Incarnation,
-			Peer: n.Peer, HTTP: n.HTTP, Place: n.Place,
+		if live {
+			byNode[n.Member.Node] = newPageNode(n)
+		} else {
+			delete(byNode, n.Member.Node)
 		}
 	}
-	next := make([]pageNode, 0, len(byNode))
-	for _, n := range byNode {
-		next = append(next, n)
-	}
+	next := slices.Collect(maps.Values(byNode))
 	slices.SortFunc(next, func(a, b pageNode) int {
 		return cmp.Compare(a.Node, b.Node)
 	})
 	return next
 }
+
+// preferListed moves the nodes that a page lists to the front.
+func preferListed(nodes []dfuroster.Node, listed map[dfuident.NodeID]pageNode) []dfuroster.Node {
+	slices.SortStableFunc(nodes, func(a, b dfuroster.Node) int {
+		_, first := listed[a.Member.Node]
+		_, second := listed[b.Member.Node]
+		switch {
+		case first && !second:
+			return -1
+		case second && !first:
+			return 1
+		default:
+			return 0
+		}
+	})
+	return nodes
+}
+
+func newPageNode(n dfuroster.Node) pageNode {
+	return pageNode{
+		Node: n.Member.Node, Incarnation: n.Member.Incarnation,
+		Peer: n.Peer, HTTP: n.HTTP, Place: n.Place,
+	}
+}
--- /dev/null
+++ b/measure/dfufleet/script.go
@@ -0,0 +1,215 @@
+package dfufleet
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/process/dfumembership"
+	"dragonflyusher/core/version/dfuroster"
+
+	"github.com/cockroachdb/errors"
+)
+
+// script runs the lines of a golden session and writes its transcript.
+type script struct {
+	fleet   *Fleet
+	out     strings.Builder
+	observe map[dfuident.NodeID]bool
+}
+
+// RunScript runs a session, one command a line, and returns the transcript:
+// each command after "> ", what it shows, and what the observed nodes saw. The
+// commands are the keys of the table below.
+func RunScript(cfg Config, text string) (string, error) {
+	s := &script{fleet: New(cfg), observe: make(map[dfuident.NodeID]bool)}
+	s.fleet.OnPublish = s.published
+	for i, line := range strings.Split(text, "\n") {
+		fields := strings.Fields(line)
+		if len(fields) == 0 || strings.HasPrefix(fields[0], "#") {
+			continue
+		}
+		fmt.Fprintf(&s.out, "> %s\n", strings.Join(fields, " "))
+		c, ok := commands[fields[0]]
+		if !ok || len(fields)-1 < c.args {
+			return "", errors.Newf("line %d: bad command %q", i+1, line)
+		}
+		if err := c.run(s, fields[1:]); err != nil {
+			return "", errors.Wrapf(err, "line %d", i+1)
+		}
+	}
+	return s.out.String(), nil
+}
+
+type command struct {
+	args int
+	run  func(s *script, args []string) error
+}
+
+// commands lists what a session may say.
+var commands = map[string]command{
+	// add PLACE SERVICE NODE...: start nodes.
+	"add": {3, func(s *script, args []string) error {
+		for _, id := range args[2:] {
+			s.fleet.Add(dfuident.NodeID(id), parsePlace(args[0]), dfumembership.Target{Service: dfuident.Service(args[1]), Slots: 12})
+		}
+		return nil
+	}},
+	// restart NODE...: start a later run of nodes.
+	"restart": {1, eachNode(func(s *script, n *Node) {
+		target := n.Keeper.Membership().Self().Details.Target
+		s.fleet.Add(n.Member.Node, n.Place, target)
+	})},
+	// observe NODE...: show what nodes see from now on.
+	"observe": {1, eachNode(func(s *script, n *Node) { s.observe[n.Member.Node] = true })},
+	"freeze":  {1, eachNode(func(s *script, n *Node) { s.fleet.Freeze(n.Member.Node) })},
+	"wake":    {1, eachNode(func(s *script, n *Node) { s.fleet.Wake(n.Member.Node) })},
+	"kill":    {1, eachNode(func(s *script, n *Node) { s.fleet.Kill(n.Member.Node) })},
+	"drain": {1, eachNode(func(s *script, n *Node) {
+		target := n.Keeper.Membership().Self().Details.Target
+		target.Draining = true
+		s.fleet.Announce(n.Member.Node, dfuroster.Announced{Target: target})
+	})},
+	"leave": {1, eachNode(func(s *script, n *Node) { s.fleet.Announce(n.Member.Node, dfuroster.Announced{Left: true}) })},
+	// show NODE...: print the views of nodes.
+	"show": {1, eachNode((*script).show)},
+	// records NODE...: print the records of nodes.
+	"records": {1, eachNode((*script).records)},
+	// cut and heal REGION REGION: the link between two regions.
+	"cut":  {2, func(s *script, args []string) error { s.setCut(args, true); return nil }},
+	"heal": {2, func(s *script, args []string) error { s.setCut(args, false); return nil }},
+	// path NODE NODE cut|heal: the path between two nodes.
+	"path": {3, (*script).setPath},
+	// store down|up|split, or region REGION.
+	"store":  {1, (*script).setStore},
+	"put":    {2, func(s *script, args []string) error { return s.put(args[0], strings.Join(args[1:], " ")) }},
+	"delete": {1, func(s *script, args []string) error { s.printf("revision %d", s.fleet.Delete(args[0])); return nil }},
+	// old NODE UPDATE: a late message of an earlier run arrives at a node.
+	"old": {2, (*script).sendOld},
+	// run DURATION: let time pass.
+	"run": {1, (*script).runFor},
+}
+
+func eachNode(run func(s *script, n *Node)) func(s *script, args []string) error {
+	return func(s *script, args []string) error {
+		for _, id := range args {
+			n := s.fleet.Node(dfuident.NodeID(id))
+			if n == nil {
+				return errors.Newf("no node %s", id)
+			}
+			run(s, n)
+		}
+		return nil
+	}
+}
+
+func (s *script) setCut(args []string, cut bool) {
+	s.fleet.SetCut(dfuident.Region(args[0]), dfuident.Region(args[1]), cut)
+}
+
+func (s *script) setPath(args []string) error {
+	a, b := dfuident.NodeID(args[0]), dfuident.NodeID(args[1])
+	s.fleet.SetPathCut(a, b, args[2] == "cut")
+	return nil
+}
+
+func (s *script) setStore(args []string) error {
+	switch args[0] {
+	case "down", "up":
+		s.fleet.SetStoreDown(args[0] == "down")
+	case "split":
+		s.fleet.SplitReplica()
+	case "region":
+		s.fleet.SetStoreRegion(dfuident.Region(args[1]))
+	default:
+		return errors.Newf("store %s", args[0])
+	}
+	return nil
+}
+
+// put writes a record. The value "entry" stands for a valid entry.
+func (s *script) put(key, value string) error {
+	if service, ok := strings.CutPrefix(key, "catalogue/"); ok && value == "entry" {
+		value = `{"change_id":"c` + strconv.Itoa(int(s.fleet.store.revision)) + `","entry":{"service":"` + service + `","owner":"stock"}}`
+	}
+	s.printf("revision %d", s.fleet.Put(key, []byte(value)))
+	return nil
+}
+
+// sendOld makes a node receive an update of an earlier run of another.
+func (s *script) sendOld(args []string) error {
+	to, about := s.fleet.Node(dfuident.NodeID(args[0])), s.fleet.Node(dfuident.NodeID(args[1]))
+	if to == nil || about == nil {
+		return errors.Newf("no node %s or %s", args[0], args[1])
+	}
+	u := about.Keeper.Membership().Self()
+	u.Member.Incarnation--
+	u.Version += 100
+	from := dfumembership.Contact{Member: u.Member, Region: about.Place.Region, Address: about.address}
+	s.fleet.step(to, dfuroster.Received{Packet: dfuroster.Packet{
+		Membership: &dfumembership.Message{Kind: dfumembership.Gossip, From: from, Updates: []dfumembership.Update{u}},
+	}})
+	s.printf("stale updates at %s: %d", args[0], to.Keeper.Membership().Counts().Stale)
+	return nil
+}
+
+func (s *script) runFor(args []string) error {
+	d, err := time.ParseDuration(args[0])
+	if err != nil {
+		return errors.Wrap(err, "run")
+	}
+	s.fleet.Run(dfuclock.FromStd(d))
+	return nil
+}
+
+// published shows what an observed node sees change.
+func (s *script) published(n *Node, old, view *dfuroster.View) {
+	if !s.observe[n.Member.Node] {
+		return
+	}
+	for _, after := range view.Nodes() {
+		before, known := old.Node(after.Member.Node)
+		if !known || before.Member != after.Member || before.State != after.State {
+			s.printf("%6d %s: %s %s", s.fleet.now, n.Member.Node, after.Member, after.State)
+		}
+	}
+	for _, service := range view.Services() {
+		_, before, _ := old.Entry(service)
+		if _, after, _ := view.Entry(service); after != before {
+			s.printf("%6d %s: entry %s revision %d", s.fleet.now, n.Member.Node, service, after)
+		}
+	}
+	for _, service := range old.Services() {
+		if _, _, ok := view.Entry(service); !ok {
+			s.printf("%6d %s: entry %s deleted", s.fleet.now, n.Member.Node, service)
+		}
+	}
+}
+
+func (s *script) show(n *Node) {
+	for _, seen := range n.Keeper.View().Nodes() {
+		s.printf("%s: %s %s %s %s", n.Member.Node, seen.Member, seen.Place, seen.Service, seen.State)
+	}
+}
+
+func (s *script) records(n *Node) {
+	x := n.Keeper.Exchange()
+	standing := x.Standing(s.fleet.now)
+	s.printf("%s: watcher %t, confirmed %t, age at most %ds", n.Member.Node, x.Watcher(), standing.Confirmed, standing.Age/dfuclock.Second+1)
+	for _, summary := range x.Set().Summaries(nil) {
+		_, live := x.Set().Get(summary.Key)
+		s.printf("%s: %s noted %d in force %d live %t", n.Member.Node, summary.Key, summary.Noted, summary.InForce, live)
+	}
+}
+
+func (s *script) printf(format string, args ...any) {
+	fmt.Fprintf(&s.out, format+"\n", args...)
+}
+
+func parsePlace(text string) dfuident.Place {
+	region, zone, _ := strings.Cut(text, "/")
+	return dfuident.Place{Region: dfuident.Region(region), Zone: dfuident.Zone(zone)}
+}
