--- a/core/process/dfumembership/machine.go
+++ b/core/process/dfumembership/machine.go
@@ -78,6 +78,9 @@
 	}
 }
 
+// resumePings is how many members are asked what was missed during a pause.
+const resumePings = 2
+
 // Self is the node that the machine speaks for.
 type Self struct {
 	Member dfuident.Member
@@ -223,8 +226,8 @@
 }
 
 // resume follows a pause of the process. Answers that came meanwhile were not
-// seen, so timers are moved by the gap, and the others may have suspected this
-// node, so it says at once that it lives.
+// seen, so timers are moved by the gap. The others may have suspected this node,
+// so it says at once that it lives, and it asks what it has missed.
 func (m *Machine) resume(now dfuclock.Time, gap dfuclock.Duration) {
 	m.counts.Pauses++
 	m.probe.pending = nil
@@ -235,6 +238,12 @@
 		}
 	}
 	m.raise(now, m.self.update.Version+1)
+	m.sync.urgent = true
+	m.sync.next = now
+	for _, h := range m.pickSome(m.grouped().fingers, resumePings) {
+		m.probe.sequence++
+		m.ping(h.contact(), m.probe.sequence)
+	}
 }
 
 func (m *Machine) announce(now dfuclock.Time, e Announced) {
--- a/core/process/dfumembership/message.go
+++ b/core/process/dfumembership/message.go
@@ -110,7 +110,7 @@
 	// Cursor is the score after which a SyncRequest wants members, and after
 	// which the next one should; it is zero in the last SyncReply.
 	Cursor uint64 `json:"cursor,omitempty"`
-	// Joined says that the sender of a SyncReply has joined itself.
+	// Joined says that the sender of an Ack or SyncReply has joined itself.
 	Joined  bool           `json:"joined,omitempty"`
 	Updates []Update       `json:"updates,omitempty"`
 	Regions []RegionStatus `json:"regions,omitempty"`
--- a/core/process/dfumembership/probe.go
+++ b/core/process/dfumembership/probe.go
@@ -159,7 +159,7 @@
 // run, is told so with the answer.
 func (m *Machine) receivePing(msg Message) {
 	m.send(msg.From, Message{
-		Kind: Ack, Sequence: msg.Sequence, Digest: m.Digest(), Updates: m.rumor(msg.From),
+		Kind: Ack, Sequence: msg.Sequence, Digest: m.Digest(), Joined: m.Joined(), Updates: m.rumor(msg.From),
 	})
 }
 
--- a/core/process/dfumembership/sync.go
+++ b/core/process/dfumembership/sync.go
@@ -24,13 +24,17 @@
 	// none did in the time of JoinPeriod.
 	joined bool
 	// alone says that the zone pages list no other of the region.
-	alone     bool
-	next      dfuclock.Time
-	last      dfuclock.Time
-	changedAt dfuclock.Time
-	buckets   [bucketCount]uint64
-	digest    uint64
-	fresh     bool
+	alone bool
+	// urgent is set after a pause until another told what was missed.
+	urgent bool
+	next   dfuclock.Time
+	// nextJoined is next for a member that has joined, while this one has not.
+	nextJoined dfuclock.Time
+	last       dfuclock.Time
+	changedAt  dfuclock.Time
+	buckets    [bucketCount]uint64
+	digest     uint64
+	fresh      bool
 }
 
 // Digest covers the members that live, by incarnation and version. Suspicion
@@ -70,21 +74,40 @@
 // compareDigest begins a sync if the digest in an answer shows that something
 // was lost, rather than that news is on its way.
 func (m *Machine) compareDigest(now dfuclock.Time, msg Message) {
-	if msg.Digest == m.Digest() || now.Before(m.sync.next) {
+	if msg.Digest == m.Digest() {
+		m.sync.joined = m.sync.joined || msg.Joined
+		return
+	}
+	if !m.Joined() {
+		m.compareToJoin(now, msg)
 		return
 	}
 	settled := now.Sub(m.sync.changedAt) >= m.cfg.SettlePeriod
 	overdue := now.Sub(m.sync.last) >= patience*m.cfg.SyncPeriod && msg.From.Region == m.region
-	if m.Joined() && !settled && !overdue {
+	if now.Before(m.sync.next) || !settled && !overdue && !m.sync.urgent {
 		return
 	}
-	m.counts.Syncs++
-	m.sync.last = now
 	m.sync.next = now.Add(m.cfg.SyncPeriod)
-	if !m.Joined() {
-		m.sync.next = now.Add(m.cfg.GossipPeriod)
+	m.beginSync(now, msg.From)
+}
+
+// compareToJoin syncs with one member that has joined and, until one answers,
+// with one that has not either.
+func (m *Machine) compareToJoin(now dfuclock.Time, msg Message) {
+	next := &m.sync.next
+	if msg.Joined {
+		next = &m.sync.nextJoined
+	}
+	if !now.Before(*next) {
+		*next = now.Add(m.cfg.ProbePeriod)
+		m.beginSync(now, msg.From)
 	}
-	m.requestSync(msg.From, 0)
+}
+
+func (m *Machine) beginSync(now dfuclock.Time, with Contact) {
+	m.counts.Syncs++
+	m.sync.last = now
+	m.requestSync(with, 0)
 }
 
 func (m *Machine) requestSync(to Contact, cursor uint64) {
@@ -109,6 +132,7 @@
 // receiveSyncReply asks on from the cursor or, if the reply was whole, sends
 // back what the other lacks.
 func (m *Machine) receiveSyncReply(msg Message) {
+	m.sync.urgent = false
 	m.sync.joined = m.sync.joined || (msg.Joined && msg.Cursor == 0)
 	if msg.Cursor != 0 {
 		m.requestSync(msg.From, msg.Cursor)
--- a/measure/dfufleet/fleet.go
+++ b/measure/dfufleet/fleet.go
@@ -142,6 +142,23 @@
 // pagePeriod is the time between two reads of the pages by a bridge.
 const pagePeriod = 30 * dfuclock.Second
 
+// Meet lets every node know every other at once, as after a long time.
+func (f *Fleet) Meet() {
+	updates := make([]dfumembership.Update, len(f.nodes))
+	for i, n := range f.nodes {
+		updates[i] = n.Keeper.Membership().Self()
+	}
+	for i, n := range f.nodes {
+		from := f.nodes[(i+1)%len(f.nodes)]
+		f.step(n, dfuroster.Received{Packet: dfuroster.Packet{Membership: &dfumembership.Message{
+			Kind:    dfumembership.SyncReply,
+			From:    dfumembership.Contact{Member: from.Member, Region: from.Place.Region, Address: from.address},
+			Joined:  true,
+			Updates: updates,
+		}}})
+	}
+}
+
 func (f *Fleet) newRun(member dfuident.Member, place dfuident.Place) *Node {
 	n := &Node{Member: member, Place: place, address: dfuident.Address(member.Node)}
 	self := dfumembership.Self{Member: member, Place: place, Peer: n.address, HTTP: n.address}
--- a/measure/dfufleet/script.go
+++ b/measure/dfufleet/script.go
@@ -64,10 +64,15 @@
 		s.fleet.Add(n.Member.Node, n.Place, target)
 	})},
 	// observe NODE...: show what nodes see from now on.
-	"observe": {1, eachNode(func(s *script, n *Node) { s.observe[n.Member.Node] = true })},
-	"freeze":  {1, eachNode(func(s *script, n *Node) { s.fleet.Freeze(n.Member.Node) })},
-	"wake":    {1, eachNode(func(s *script, n *Node) { s.fleet.Wake(n.Member.Node) })},
-	"kill":    {1, eachNode(func(s *script, n *Node) { s.fleet.Kill(n.Member.Node) })},
+	"observe": {1, func(s *script, args []string) error {
+		for _, id := range args {
+			s.observe[dfuident.NodeID(id)] = true
+		}
+		return nil
+	}},
+	"freeze": {1, eachNode(func(s *script, n *Node) { s.fleet.Freeze(n.Member.Node) })},
+	"wake":   {1, eachNode(func(s *script, n *Node) { s.fleet.Wake(n.Member.Node) })},
+	"kill":   {1, eachNode(func(s *script, n *Node) { s.fleet.Kill(n.Member.Node) })},
 	"drain": {1, eachNode(func(s *script, n *Node) {
 		target := n.Keeper.Membership().Self().Details.Target
 		target.Draining = true
