cmd/dragonflyusher: add the operators' client with golden sessions

Operators drive the system only by changing entries and need to know of each change whether it was accepted.

- io/process/dfuoperator: apply, get, list, diff, delete, watch, validate, drain, status, trace.
Every write goes through submit: compare-and-swap from the revision read, and after a lost reply a read back and the same write again, which ends accepted, rejected or unknown with the command that settles it.
A conflict shows both versions field by field and merges nothing.
- An apply without differences is written too.
Reporting "unchanged" from a read was ruled out: a replica that lags made it say so of an entry that another operator had just changed (session conflict).
- A file without a drain list or claim epoch keeps the present ones, so that applying a file doesn't take back a drain.
- standin/dfustorestandin: lose_requests and then_down, so that sessions reach an unknown end without timing.

Proof: golden sessions for all commands. Each of these, taken out alone, fails TestSessions: the call of settle in submit (lost-reply); the resend while a change is pending (lost-reply); Inherit in apply (drain); drain editing the version that came first, "base = r.current" (drain); the comparison of revisions in lags (status).

--- a/core/version/dfucatalogue/entry.go
+++ b/core/version/dfucatalogue/entry.go
@@ -44,7 +44,8 @@
 	// ClaimEpoch is raised by an operator who gives up on the claims that
 	// earlier owners may hold.
 	ClaimEpoch uint64 `json:"claim_epoch"`
-	// Drain lists the nodes whose target is to receive no new requests.
+	// Drain lists the nodes whose target is to receive no new requests. Nil
+	// stands for a list that was left out.
 	Drain []dfuident.NodeID `json:"drain"`
 }
 
@@ -133,6 +134,19 @@
 	return e
 }
 
+// Inherit returns the entry with the fields that are kept from one version to
+// the next unless the new one sets them: the drain list, which the drain command
+// edits, and the claim epoch, which never falls.
+func (e Entry) Inherit(current Entry) Entry {
+	if e.Drain == nil {
+		e.Drain = current.Drain
+	}
+	if e.ClaimEpoch == 0 {
+		e.ClaimEpoch = current.ClaimEpoch
+	}
+	return e
+}
+
 // fill sets a zero field to its default.
 func fill[T comparable](field *T, value T) {
 	var zero T
--- a/core/version/dfucatalogue/stored.go
+++ b/core/version/dfucatalogue/stored.go
@@ -55,6 +55,9 @@
 // Next returns the version that a change makes from s.
 func (s Stored) Next(change Change, e Entry) Stored {
 	next := Stored{ChangeID: change.ChangeID, MadeFrom: change.MadeFrom, Entry: e}
+	if next.Entry.Drain == nil {
+		next.Entry.Drain = []dfuident.NodeID{}
+	}
 	if s.ChangeID != "" {
 		next.Recent = s.History()
 		next.Recent = next.Recent[:min(len(next.Recent), MaxRecentChanges)]
--- /dev/null
+++ b/io/process/dfuoperator/get.go
@@ -0,0 +1,97 @@
+package dfuoperator
+
+import (
+	"context"
+	"encoding/json"
+
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/version/dfucatalogue"
+
+	"github.com/cockroachdb/errors"
+)
+
+// serviceArgument is the positional argument of commands about one service.
+type serviceArgument struct {
+	Service dfuident.Service `positional-arg-name:"SERVICE" required:"yes"`
+}
+
+// getCommand prints an entry, or what became of a change.
+type getCommand struct {
+	Change dfuident.ChangeID  `long:"change" value-name:"ID" description:"say what became of this change"`
+	From   *dfuident.Revision `long:"from" value-name:"REV" description:"revision the change was made from"`
+	Args   serviceArgument    `positional-args:"yes"`
+}
+
+func (c *getCommand) run(ctx context.Context, s *session) error {
+	if c.Change != "" {
+		return c.judge(ctx, s)
+	}
+	v, err := s.readLive(ctx, c.Args.Service)
+	if err != nil {
+		return err
+	}
+	if s.json {
+		return s.printJSON(struct {
+			Revision dfuident.Revision `json:"revision"`
+			dfucatalogue.Stored
+		}{v.revision, v.stored})
+	}
+	s.notef("%s: revision %d, change %s made from revision %d", c.Args.Service, v.revision, v.stored.ChangeID, v.stored.MadeFrom)
+	text, err := json.MarshalIndent(v.stored.Entry, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "print the entry")
+	}
+	s.printf("%s", text)
+	return nil
+}
+
+// judge says what became of a change.
+func (c *getCommand) judge(ctx context.Context, s *session) error {
+	v, err := s.read(ctx, c.Args.Service)
+	if err != nil {
+		return err
+	}
+	verdict := c.verdict(v)
+	if s.json {
+		err = s.printJSON(struct {
+			Service  dfuident.Service     `json:"service"`
+			ChangeID dfuident.ChangeID    `json:"change_id"`
+			Verdict  dfucatalogue.Verdict `json:"verdict"`
+			Revision dfuident.Revision    `json:"revision"`
+		}{c.Args.Service, c.Change, verdict, v.revision})
+	} else {
+		s.printf("%s: change %s: %s", c.Args.Service, c.Change, explain(verdict, c.Change, v))
+	}
+	return errors.CombineErrors(result{verdict: verdict}.err(), err)
+}
+
+// verdict judges the change. Without the revision it was made from, a change
+// that the entry does not remember stays unknown, although it may have been
+// rejected.
+func (c *getCommand) verdict(v entryVersion) dfucatalogue.Verdict {
+	if c.From != nil {
+		return v.stored.Judge(dfucatalogue.Change{ChangeID: c.Change, MadeFrom: *c.From}, v.revision)
+	}
+	for _, known := range v.stored.History() {
+		if known.ChangeID == c.Change {
+			return dfucatalogue.VerdictAccepted
+		}
+	}
+	return dfucatalogue.VerdictUnknown
+}
+
+func explain(verdict dfucatalogue.Verdict, id dfuident.ChangeID, v entryVersion) string {
+	switch verdict {
+	case dfucatalogue.VerdictAccepted:
+		if v.stored.ChangeID == id {
+			return "accepted, and in force"
+		}
+		return "accepted, and since replaced" + byChange(v.stored.ChangeID)
+	case dfucatalogue.VerdictRejected:
+		return "rejected, another change was made from the same revision"
+	case dfucatalogue.VerdictPending:
+		return "not accepted so far; a write on its way may still be, unless the entry changes first"
+	default:
+		return "unknown, it is not among the changes that the entry remembers"
+	}
+}
--- /dev/null
+++ b/io/process/dfuoperator/node.go
@@ -0,0 +1,106 @@
+package dfuoperator
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"net/url"
+	"slices"
+	"sync"
+	"time"
+
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/version/dfuroster"
+	"dragonflyusher/io/process/dfustore"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// maxParallelNodes is how many nodes are asked at once.
+	maxParallelNodes = 16
+	// maxNodeAnswerBytes bounds the answer of a node.
+	maxNodeAnswerBytes = 16 << 20
+)
+
+// nodeInfo is what one node knows about another.
+type nodeInfo struct {
+	Node        dfuident.NodeID      `json:"node"`
+	Incarnation dfuident.Incarnation `json:"incarnation"`
+	Region      dfuident.Region      `json:"region"`
+	Zone        dfuident.Zone        `json:"zone"`
+	HTTP        dfuident.Address     `json:"http"`
+	Service     dfuident.Service     `json:"service"`
+	State       dfuroster.State      `json:"state"`
+}
+
+// gone reports whether the node has ended, as far as is known, so that no
+// answer is expected from it.
+func (n nodeInfo) gone() bool {
+	return n.State == dfuroster.Left || n.State == dfuroster.Dead
+}
+
+// nodeClient reads from nodes over HTTP.
+type nodeClient struct {
+	http    *fasthttp.Client
+	timeout time.Duration
+}
+
+func newNodeClient(s settings) *nodeClient {
+	return &nodeClient{
+		http: &fasthttp.Client{
+			MaxResponseBodySize:      maxNodeAnswerBytes,
+			NoDefaultUserAgentHeader: true,
+		},
+		timeout: s.Timeout.Std(),
+	}
+}
+
+// get reads one JSON answer of a node. Every failure means that the node is
+// unavailable.
+func (c *nodeClient) get(ctx context.Context, address dfuident.Address, path string, query url.Values, answer any) error {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + string(address) + path + "?" + query.Encode())
+	deadline := time.Now().Add(c.timeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	if err := c.http.DoDeadline(request, response, deadline); err != nil {
+		return errors.Mark(errors.Wrapf(err, "node %s", address), dfustore.ErrUnavailable)
+	}
+	if status := response.StatusCode(); status != fasthttp.StatusOK {
+		return errors.Wrapf(dfustore.ErrUnavailable, "node %s: status %d", address, status)
+	}
+	err := json.Unmarshal(response.Body(), answer)
+	return errors.Mark(errors.Wrapf(err, "node %s", address), dfustore.ErrUnavailable)
+}
+
+// nodes returns the nodes that the node of the settings knows, by id.
+func (s *session) nodes(ctx context.Context, c *nodeClient) ([]nodeInfo, error) {
+	if s.settings.Node == "" {
+		return nil, badInput("set --node, or node in the settings file")
+	}
+	var nodes []nodeInfo
+	if err := c.get(ctx, s.settings.Node, "/dragonflyusher/nodes", nil, &nodes); err != nil {
+		return nil, err
+	}
+	slices.SortFunc(nodes, func(a, b nodeInfo) int { return cmp.Compare(a.Node, b.Node) })
+	return nodes, nil
+}
+
+// eachNode calls ask with the index of each node, a few at a time.
+func eachNode(nodes []nodeInfo, ask func(i int)) {
+	var wait sync.WaitGroup
+	slots := make(chan struct{}, maxParallelNodes)
+	for i := range nodes {
+		slots <- struct{}{}
+		wait.Go(func() {
+			ask(i)
+			<-slots
+		})
+	}
+	wait.Wait()
+}
--- /dev/null
+++ b/io/process/dfuoperator/report.go
@@ -0,0 +1,142 @@
+package dfuoperator
+
+import (
+	"encoding/json"
+	"strings"
+	"text/tabwriter"
+
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/version/dfucatalogue"
+
+	"github.com/cockroachdb/errors"
+)
+
+// report is what a command that writes says about one entry.
+type report struct {
+	Service  dfuident.Service           `json:"service"`
+	Verdict  dfucatalogue.Verdict       `json:"verdict"`
+	ChangeID dfuident.ChangeID          `json:"change_id,omitempty"`
+	MadeFrom dfuident.Revision          `json:"made_from"`
+	Revision dfuident.Revision          `json:"revision,omitempty"`
+	Changes  []dfucatalogue.FieldChange `json:"changes,omitempty"`
+	Conflict *conflictReport            `json:"conflict,omitempty"`
+	// ReplacedBy is the later change that replaced an accepted one.
+	ReplacedBy dfuident.ChangeID `json:"replaced_by,omitempty"`
+	// Settle is the command that settles an unknown end.
+	Settle string `json:"settle,omitempty"`
+}
+
+// conflictReport compares a rejected version with the one in the store.
+type conflictReport struct {
+	ChangeID dfuident.ChangeID `json:"change_id"`
+	Deleted  bool              `json:"deleted"`
+	Fields   []fieldConflict   `json:"fields"`
+}
+
+// fieldConflict is one field of which two versions differ.
+type fieldConflict struct {
+	Path   string          `json:"path"`
+	Yours  json.RawMessage `json:"yours"`
+	Theirs json.RawMessage `json:"theirs"`
+}
+
+// reportOn returns the report on the result of a change.
+func (s *session) reportOn(r result) report {
+	out := report{
+		Service:  r.change.service,
+		Verdict:  r.verdict,
+		ChangeID: r.change.next.ChangeID,
+		MadeFrom: r.change.next.MadeFrom,
+		Revision: r.current.revision,
+	}
+	if r.change.base.live() && r.change.base.invalid == nil {
+		out.Changes = dfucatalogue.Diff(r.change.base.stored.Entry, r.change.next.Entry)
+	}
+	switch r.verdict {
+	case dfucatalogue.VerdictAccepted:
+		if id := r.current.stored.ChangeID; id != out.ChangeID {
+			out.ReplacedBy = id
+		}
+	case dfucatalogue.VerdictRejected:
+		out.Conflict = compare(r.change.next.Entry, r.current)
+	default:
+		out.Settle = s.settleCommand(out.Service, r.change.id())
+	}
+	return out
+}
+
+func compare(yours dfucatalogue.Entry, theirs entryVersion) *conflictReport {
+	c := &conflictReport{ChangeID: theirs.stored.ChangeID, Deleted: theirs.stored.Deleted, Fields: []fieldConflict{}}
+	if !theirs.live() || theirs.invalid != nil {
+		return c
+	}
+	for _, f := range dfucatalogue.Diff(theirs.stored.Entry, yours) {
+		c.Fields = append(c.Fields, fieldConflict{Path: f.Path, Yours: f.After, Theirs: f.Before})
+	}
+	return c
+}
+
+// show prints reports as text or JSON.
+func (s *session) show(reports []report) error {
+	if s.json {
+		return s.printJSON(reports)
+	}
+	for i := range reports {
+		s.showText(&reports[i])
+	}
+	return nil
+}
+
+func (s *session) showText(r *report) {
+	for _, c := range r.Changes {
+		s.printf("%s: %s: %s -> %s", r.Service, c.Path, c.Before, c.After)
+	}
+	switch r.Verdict {
+	case dfucatalogue.VerdictAccepted:
+		s.printf("%s: accepted, change %s made from revision %d", r.Service, r.ChangeID, r.MadeFrom)
+		if r.ReplacedBy == "" {
+			s.printf("%s: now at revision %d", r.Service, r.Revision)
+		} else {
+			s.printf("%s: since replaced at revision %d by change %s", r.Service, r.Revision, r.ReplacedBy)
+		}
+	case dfucatalogue.VerdictRejected:
+		s.showConflict(r)
+	default:
+		s.printf("%s: unknown, the reply to change %s made from revision %d was lost", r.Service, r.ChangeID, r.MadeFrom)
+		s.printf("settle it with: %s", r.Settle)
+	}
+}
+
+func (s *session) showConflict(r *report) {
+	s.printf("%s: rejected, change %s was made from revision %d", r.Service, r.ChangeID, r.MadeFrom)
+	switch {
+	case r.Revision == 0:
+		s.printf("%s: the store holds no such entry", r.Service)
+		return
+	case r.Conflict.Deleted:
+		s.printf("%s: the store has deleted it at revision %d%s", r.Service, r.Revision, byChange(r.Conflict.ChangeID))
+		return
+	}
+	s.printf("%s: the store is at revision %d%s", r.Service, r.Revision, byChange(r.Conflict.ChangeID))
+	rows := [][]string{{"  field", "yours", "theirs"}}
+	for _, f := range r.Conflict.Fields {
+		rows = append(rows, []string{"  " + f.Path, string(f.Yours), string(f.Theirs)})
+	}
+	if len(rows) > 1 {
+		s.table(rows)
+	}
+}
+
+// table prints rows in aligned columns.
+func (s *session) table(rows [][]string) {
+	w := tabwriter.NewWriter(s.stdout, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		writeLine(w, "%s", strings.Join(row, "\t"))
+	}
+	_ = w.Flush()
+}
+
+// finish shows the report on one change and returns the error of its verdict.
+func (s *session) finish(r result) error {
+	return errors.CombineErrors(r.err(), s.show([]report{s.reportOn(r)}))
+}
--- /dev/null
+++ b/io/process/dfuoperator/session_test.go
@@ -0,0 +1,133 @@
+package dfuoperator_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/io/process/dfuoperator"
+	"dragonflyusher/io/process/dfustore"
+	"dragonflyusher/standin/dfustorestandin"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+var update = flag.Bool("update", false, "rewrite the transcripts in testdata")
+
+// TestSessions plays each script of testdata against a store stand-in of its
+// own. The commands "operator" and "put" append what happened to the file
+// transcript, which the script compares with the wanted one.
+func TestSessions(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:           "testdata",
+		UpdateScripts: *update,
+		Setup:         setup,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"operator": runOperator,
+			"switch":   setSwitches,
+			"put":      putRaw,
+			"node":     startNode,
+		},
+	})
+}
+
+// hangGuard ends a command that waits for something a script never does.
+const hangGuard = time.Minute
+
+type storeKey struct{}
+
+func setup(env *testscript.Env) error {
+	server, err := dfustorestandin.New("127.0.0.1:0", dfustorestandin.Switches{})
+	if err != nil {
+		return err
+	}
+	env.Defer(func() { _ = server.Close() })
+	env.Values[storeKey{}] = server
+	env.Setenv("STORE", string(server.Address()))
+	return nil
+}
+
+func store(ts *testscript.TestScript) *dfustorestandin.Server {
+	return ts.Value(storeKey{}).(*dfustorestandin.Server)
+}
+
+// runOperator runs the program: "operator CHANGE-ID ARGUMENT...". Addresses are
+// replaced in the transcript by the names of their variables, and files by
+// their base names.
+func runOperator(ts *testscript.TestScript, _ bool, args []string) {
+	var stdout, stderr strings.Builder
+	id := func() dfuident.ChangeID { return dfuident.ChangeID(args[0]) }
+	arguments := slices.Clone(args[1:])
+	for i, a := range arguments {
+		if strings.HasSuffix(a, ".json") {
+			arguments[i] = ts.MkAbs(a)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), hangGuard)
+	defer cancel()
+	status := dfuoperator.New(&stdout, &stderr, id).Run(ctx, arguments)
+	text := fmt.Sprintf("> dragonflyusher %s\n%s%s", strings.Join(args[1:], " "), stdout.String(), stderr.String())
+	text = strings.ReplaceAll(text, ts.MkAbs(".")+"/", "")
+	if status != dfuoperator.ExitOK {
+		text += fmt.Sprintf("exit status %d\n", status)
+	}
+	for _, name := range []string{"STORE", "NODE1", "NODE2", "NODE3"} {
+		if address := ts.Getenv(name); address != "" {
+			text = strings.ReplaceAll(text, address, "$"+name)
+		}
+	}
+	appendTranscript(ts, text)
+}
+
+func appendTranscript(ts *testscript.TestScript, text string) {
+	file, err := os.OpenFile(ts.MkAbs("transcript"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	ts.Check(err)
+	_, err = file.WriteString(text)
+	ts.Check(err)
+	ts.Check(file.Close())
+}
+
+// setSwitches sets the faults of the store: "switch JSON".
+func setSwitches(ts *testscript.TestScript, _ bool, args []string) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+ts.Getenv("STORE")+"/admin", strings.NewReader(args[0]))
+	ts.Check(err)
+	response, err := http.DefaultClient.Do(request)
+	ts.Check(err)
+	ts.Check(response.Body.Close())
+	appendTranscript(ts, "store "+args[0]+"\n")
+}
+
+// putRaw writes a value past the operators' client: "put KEY VALUE".
+func putRaw(ts *testscript.TestScript, _ bool, args []string) {
+	client := dfustore.New(dfustore.Config{Address: store(ts).Address()})
+	defer client.Close()
+	record, err := client.Get(context.Background(), args[0])
+	ts.Check(err)
+	_, err = client.CompareAndSwap(context.Background(), args[0], record.Revision, []byte(args[1]), 0)
+	ts.Check(err)
+	appendTranscript(ts, "put "+strings.Join(args, " ")+"\n")
+}
+
+// startNode serves the files of a directory as a node and sets a variable to
+// its address: "node VARIABLE DIRECTORY". Variables in the files are expanded.
+func startNode(ts *testscript.TestScript, _ bool, args []string) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		data, err := os.ReadFile(filepath.Join(ts.MkAbs(args[1]), filepath.Base(r.URL.Path)+".json"))
+		if err != nil {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		fmt.Fprint(w, os.Expand(string(data), ts.Getenv))
+	}))
+	ts.Defer(server.Close)
+	ts.Setenv(args[0], server.Listener.Addr().String())
+}
--- /dev/null
+++ b/io/process/dfuoperator/status.go
@@ -0,0 +1,252 @@
+package dfuoperator
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/request/dfuoutcome"
+	"dragonflyusher/core/version/dfuroster"
+	"dragonflyusher/io/process/dfustore"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxViewAge is the age from which a node's view of the catalogue lags.
+const maxViewAge = 4 * dfuclock.Second
+
+// statusCommand shows the nodes and which of them lag behind.
+type statusCommand struct {
+	Service dfuident.Service `long:"service" value-name:"SERVICE" description:"show only this service's nodes"`
+}
+
+// nodeStatus is the status that a node reports.
+type nodeStatus struct {
+	Node        dfuident.NodeID              `json:"node"`
+	Incarnation dfuident.Incarnation         `json:"incarnation"`
+	Region      dfuident.Region              `json:"region"`
+	Zone        dfuident.Zone                `json:"zone"`
+	Service     dfuident.Service             `json:"service"`
+	State       string                       `json:"state"`
+	Draining    bool                         `json:"draining"`
+	Slots       int                          `json:"slots"`
+	InFlight    int                          `json:"in_flight"`
+	Queued      int                          `json:"queued"`
+	View        viewStatus                   `json:"view"`
+	Peers       []peerStatus                 `json:"peers"`
+	Refused     map[dfuoutcome.Reason]uint64 `json:"refused"`
+	Measuring   measuringStatus              `json:"measuring"`
+	Control     controlStatus                `json:"control"`
+}
+
+// controlStatus is how current a node's copy of the store's records is.
+type controlStatus struct {
+	HasCatalogue bool              `json:"has_catalogue"`
+	Confirmed    bool              `json:"confirmed"`
+	Age          dfuclock.Duration `json:"age_ms"`
+	StoreError   string            `json:"store_error,omitempty"`
+}
+
+// viewStatus is a node's view of the catalogue.
+type viewStatus struct {
+	Revision dfuident.Revision                      `json:"revision"`
+	Entries  map[dfuident.Service]dfuident.Revision `json:"entries"`
+}
+
+// peerStatus is what a node thinks of another one.
+type peerStatus struct {
+	Node   dfuident.NodeID `json:"node"`
+	State  dfuroster.State `json:"state"`
+	Reason string          `json:"reason"`
+}
+
+// measuringStatus is what a node spent on measuring of its share.
+type measuringStatus struct {
+	SpentBytes  dfuident.Bytes `json:"spent_bytes"`
+	BudgetBytes dfuident.Bytes `json:"budget_bytes"`
+}
+
+// laggard is a node that does not have the whole catalogue in force.
+type laggard struct {
+	Node    dfuident.NodeID `json:"node"`
+	Reasons []string        `json:"reasons"`
+}
+
+// fleet is all that the status command found.
+type fleet struct {
+	// Reference is "store", or "other nodes" if the store did not answer and the
+	// nodes are compared with each other.
+	Reference string                                 `json:"reference"`
+	Entries   map[dfuident.Service]dfuident.Revision `json:"entries"`
+	// Deleted holds the revisions of deletes that the store remembers.
+	Deleted map[dfuident.Service]dfuident.Revision `json:"deleted"`
+	// Asked is how many nodes were asked.
+	Asked    int          `json:"asked"`
+	Nodes    []nodeStatus `json:"nodes"`
+	Laggards []laggard    `json:"laggards"`
+}
+
+func (c *statusCommand) run(ctx context.Context, s *session) error {
+	client := newNodeClient(s.settings)
+	nodes, err := s.nodes(ctx, client)
+	if err != nil {
+		return err
+	}
+	if c.Service != "" {
+		nodes = slices.DeleteFunc(nodes, func(n nodeInfo) bool { return n.Service != c.Service })
+	}
+	nodes = slices.DeleteFunc(nodes, nodeInfo.gone)
+	f := fleet{Asked: len(nodes), Nodes: []nodeStatus{}, Laggards: []laggard{}}
+	answers := make([]nodeStatus, len(nodes))
+	failures := make([]error, len(nodes))
+	eachNode(nodes, func(i int) {
+		failures[i] = client.get(ctx, nodes[i].HTTP, "/dragonflyusher/status", nil, &answers[i])
+	})
+	for i := range nodes {
+		if failures[i] != nil {
+			f.Laggards = append(f.Laggards, laggard{nodes[i].Node, []string{"does not answer, seen as " + string(nodes[i].State)}})
+			continue
+		}
+		f.Nodes = append(f.Nodes, answers[i])
+	}
+	s.findReference(ctx, &f)
+	for i := range f.Nodes {
+		if reasons := f.lags(&f.Nodes[i]); len(reasons) > 0 {
+			f.Laggards = append(f.Laggards, laggard{f.Nodes[i].Node, reasons})
+		}
+	}
+	return s.showFleet(&f)
+}
+
+// findReference sets the revisions that every node should have: those of the
+// store, or the highest that any node has.
+func (s *session) findReference(ctx context.Context, f *fleet) {
+	f.Reference = "other nodes"
+	f.Entries = make(map[dfuident.Service]dfuident.Revision)
+	f.Deleted = make(map[dfuident.Service]dfuident.Revision)
+	for i := range f.Nodes {
+		for service, revision := range f.Nodes[i].View.Entries {
+			f.Entries[service] = max(f.Entries[service], revision)
+		}
+	}
+	if s.settings.Store == "" {
+		return
+	}
+	store, err := s.store()
+	if err != nil {
+		return
+	}
+	records, _, err := store.List(ctx, dfustore.CataloguePrefix)
+	if err != nil {
+		s.notef("the store does not answer; the nodes are compared with each other")
+		return
+	}
+	f.Reference = "store"
+	for _, record := range records {
+		service, v := serviceOf(record), versionOf(record)
+		if v.live() {
+			f.Entries[service] = max(f.Entries[service], v.revision)
+		} else if f.Entries[service] < v.revision {
+			f.Deleted[service] = v.revision
+			delete(f.Entries, service)
+		}
+	}
+}
+
+// lags returns why a node lags behind, if it does.
+func (f *fleet) lags(n *nodeStatus) []string {
+	var reasons []string
+	for _, service := range slices.Sorted(maps.Keys(f.Entries)) {
+		if has, want := n.View.Entries[service], f.Entries[service]; has < want {
+			reasons = append(reasons, fmt.Sprintf("%s at revision %d, not %d", service, has, want))
+		}
+	}
+	for _, service := range slices.Sorted(maps.Keys(f.Deleted)) {
+		if has, ok := n.View.Entries[service]; ok && has < f.Deleted[service] {
+			reasons = append(reasons, fmt.Sprintf("%s at revision %d, deleted at %d", service, has, f.Deleted[service]))
+		}
+	}
+	switch {
+	case !n.Control.HasCatalogue:
+		reasons = append(reasons, "has no catalogue")
+	case !n.Control.Confirmed:
+		reasons = append(reasons, "view was never confirmed by the store")
+	case n.Control.Age > maxViewAge:
+		reasons = append(reasons, fmt.Sprintf("view is %s old", n.Control.Age))
+	}
+	return reasons
+}
+
+// showFleet prints the status. Laggards make the command fail, so that a
+// script can wait for a change to be in force.
+func (s *session) showFleet(f *fleet) error {
+	var failure error
+	if len(f.Laggards) > 0 {
+		failure = errors.WithStack(errFailed)
+	}
+	if s.json {
+		return errors.CombineErrors(failure, s.printJSON(f))
+	}
+	s.showNodes(f.Nodes)
+	s.showTotals(f.Nodes)
+	s.showPeers(f.Nodes)
+	for _, l := range f.Laggards {
+		s.printf("laggard %s: %s", l.Node, strings.Join(l.Reasons, "; "))
+	}
+	s.printf("lagging nodes: %d of %d, compared with the %s", len(f.Laggards), f.Asked, f.Reference)
+	return failure
+}
+
+func (s *session) showNodes(nodes []nodeStatus) {
+	rows := [][]string{{"NODE", "SERVICE", "PLACE", "STATE", "SLOTS", "IN-FLIGHT", "QUEUED", "REVISION", "AGE"}}
+	for i := range nodes {
+		n := &nodes[i]
+		state := n.State
+		if n.Draining {
+			state += ",draining"
+		}
+		rows = append(rows, []string{
+			string(n.Node), string(n.Service), dfuident.Place{Region: n.Region, Zone: n.Zone}.String(), state,
+			strconv.Itoa(n.Slots), strconv.Itoa(n.InFlight), strconv.Itoa(n.Queued),
+			strconv.FormatUint(uint64(n.View.Revision), 10), n.Control.Age.String(),
+		})
+	}
+	s.table(rows)
+}
+
+// showTotals prints what was refused and what was spent on measuring.
+func (s *session) showTotals(nodes []nodeStatus) {
+	refused := make(map[dfuoutcome.Reason]uint64)
+	var measuring measuringStatus
+	for i := range nodes {
+		for reason, count := range nodes[i].Refused {
+			refused[reason] += count
+		}
+		measuring.SpentBytes += nodes[i].Measuring.SpentBytes
+		measuring.BudgetBytes += nodes[i].Measuring.BudgetBytes
+	}
+	for _, reason := range slices.Sorted(maps.Keys(refused)) {
+		s.printf("refused %s: %d", reason, refused[reason])
+	}
+	s.printf("measuring: %d of %d bytes", measuring.SpentBytes, measuring.BudgetBytes)
+}
+
+// showPeers prints which nodes see a peer as other than alive.
+func (s *session) showPeers(nodes []nodeStatus) {
+	for i := range nodes {
+		for _, p := range nodes[i].Peers {
+			text := string(p.State)
+			if p.Reason != "" {
+				text += ": " + p.Reason
+			}
+			if p.State != dfuroster.Alive {
+				s.printf("%s sees %s as %s", nodes[i].Node, p.Node, text)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/io/process/dfuoperator/trace.go
@@ -0,0 +1,106 @@
+package dfuoperator
+
+import (
+	"cmp"
+	"context"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"dragonflyusher/core/process/dfuident"
+
+	"github.com/cockroachdb/errors"
+)
+
+// traceCommand shows the way of one request.
+type traceCommand struct {
+	Args struct {
+		ID string `positional-arg-name:"ID" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// traceSpan is one hop of a request.
+type traceSpan struct {
+	TraceID    string           `json:"trace_id"`
+	SpanID     string           `json:"span_id"`
+	ParentID   string           `json:"parent_id,omitempty"`
+	Name       string           `json:"name"`
+	StartMS    int64            `json:"start_unix_ms"`
+	DurationUS int64            `json:"duration_us"`
+	Attributes []traceAttribute `json:"attributes"`
+	// Node is the node that recorded the span.
+	Node dfuident.NodeID `json:"node"`
+}
+
+// traceAttribute is one named fact of a span.
+type traceAttribute struct {
+	Name  string `json:"name"`
+	Value string `json:"value"`
+}
+
+// run asks all nodes, since each records the hops that it made itself.
+func (c *traceCommand) run(ctx context.Context, s *session) error {
+	client := newNodeClient(s.settings)
+	nodes, err := s.nodes(ctx, client)
+	if err != nil {
+		return err
+	}
+	answers := make([][]traceSpan, len(nodes))
+	failures := make([]error, len(nodes))
+	eachNode(nodes, func(i int) {
+		failures[i] = client.get(ctx, nodes[i].HTTP, "/dragonflyusher/trace", url.Values{"id": {c.Args.ID}}, &answers[i])
+	})
+	spans := []traceSpan{}
+	for i := range nodes {
+		if failures[i] != nil {
+			s.notef("node %s does not answer; its hops are missing", nodes[i].Node)
+		}
+		for _, span := range answers[i] {
+			span.Node = nodes[i].Node
+			spans = append(spans, span)
+		}
+	}
+	if len(spans) == 0 {
+		s.notef("no node remembers trace %s", c.Args.ID)
+		return errors.WithStack(errFailed)
+	}
+	if s.json {
+		return s.printJSON(spans)
+	}
+	s.showTree(spans)
+	return nil
+}
+
+// showTree prints the spans as a tree. A span whose parent is missing, such as
+// the caller's own, is a root.
+func (s *session) showTree(spans []traceSpan) {
+	slices.SortStableFunc(spans, func(a, b traceSpan) int {
+		return cmp.Or(cmp.Compare(a.StartMS, b.StartMS), cmp.Compare(a.SpanID, b.SpanID))
+	})
+	known := make(map[string]bool, len(spans))
+	for _, span := range spans {
+		known[span.SpanID] = true
+	}
+	children := make(map[string][]traceSpan)
+	for _, span := range spans {
+		parent := span.ParentID
+		if !known[parent] || parent == span.SpanID {
+			parent = ""
+		}
+		children[parent] = append(children[parent], span)
+	}
+	s.showBranch(children, "", "")
+}
+
+func (s *session) showBranch(children map[string][]traceSpan, parent, indent string) {
+	for _, span := range children[parent] {
+		duration := (time.Duration(span.DurationUS) * time.Microsecond).String()
+		words := []string{indent + span.Name, "on", string(span.Node), duration}
+		for _, a := range span.Attributes {
+			words = append(words, a.Name+"="+a.Value)
+		}
+		s.printf("%s", strings.Join(words, " "))
+		s.showBranch(children, span.SpanID, indent+"  ")
+	}
+}
--- a/standin/dfustorestandin/server.go
+++ b/standin/dfustorestandin/server.go
@@ -105,15 +105,24 @@
 	region := dfuident.Region(ctx.Request.Header.Peek(dfustore.RegionHeader))
 	current := s.current()
 	s.pause(current.Delay + current.OneWayDelay[region])
+	if r.writes && s.loses(func(w *Switches) *int { return &w.LoseRequests }) {
+		hangUp(ctx)
+		return
+	}
 	r.serve(s, ctx)
 	current = s.current()
 	s.pause(current.ReplyDelay + current.OneWayDelay[region])
-	if r.writes && s.losesReply() {
-		ctx.HijackSetNoResponse(true)
-		ctx.Hijack(func(conn net.Conn) { _ = conn.Close() })
+	if r.writes && s.loses(func(w *Switches) *int { return &w.LoseReplies }) {
+		hangUp(ctx)
 	}
 }
 
+// hangUp closes the connection without an answer.
+func hangUp(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(conn net.Conn) { _ = conn.Close() })
+}
+
 // available refuses or holds a call while the store is down.
 func (s *Server) available(ctx *fasthttp.RequestCtx) bool {
 	for {
--- a/standin/dfustorestandin/switches.go
+++ b/standin/dfustorestandin/switches.go
@@ -28,8 +28,12 @@
 	ReplyDelay dfuclock.Duration `json:"reply_delay_ms"`
 	// OneWayDelay is added before and after the effect of a call from a region.
 	OneWayDelay map[dfuident.Region]dfuclock.Duration `json:"one_way_delay_ms"`
+	// LoseRequests is how many writes to come are lost before their effect.
+	LoseRequests int `json:"lose_requests"`
 	// LoseReplies is how many writes to come take effect without a reply.
 	LoseReplies int `json:"lose_replies"`
+	// ThenDown is how the store is down once the last of these was lost.
+	ThenDown Down `json:"then_down"`
 	// Stale makes reads and watches see the content of the moment in which
 	// the switch was set.
 	Stale bool `json:"stale"`
@@ -97,13 +101,18 @@
 	*r.count(&s.counts)++
 }
 
-// losesReply reports whether the reply of a write is to be lost.
-func (s *Server) losesReply() bool {
+// loses counts down one of the numbers of messages to lose and reports whether
+// the present one is lost.
+func (s *Server) loses(left func(*Switches) *int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.switches.LoseReplies == 0 {
+	n := left(&s.switches)
+	if *n == 0 {
 		return false
 	}
-	s.switches.LoseReplies--
+	*n--
+	if s.switches.LoseRequests+s.switches.LoseReplies == 0 && s.switches.ThenDown != DownNo {
+		s.switches.Down = s.switches.ThenDown
+	}
 	return true
 }
