--- a/core/request/dfuclaim/action.go
+++ b/core/request/dfuclaim/action.go
@@ -79,6 +79,7 @@
 	TransitionForgets      Transition = "forgets"
 	TransitionAdopts       Transition = "adopts"
 	TransitionReleases     Transition = "releases"
+	TransitionConfirms     Transition = "confirms"
 	TransitionReplacesCopy Transition = "replaces_copy"
 	TransitionRebalances   Transition = "rebalances"
 	TransitionNotesEpoch   Transition = "notes_epoch"
--- a/core/request/dfuclaim/config.go
+++ b/core/request/dfuclaim/config.go
@@ -22,6 +22,9 @@
 	// CopyTimeout is the time after which a copy holder that answers no Ask is
 	// replaced even if membership sees it alive.
 	CopyTimeout dfuclock.Duration
+	// AvoidTime is how long a copy holder replaced for that reason is not chosen
+	// again.
+	AvoidTime dfuclock.Duration
 	// HandoverRetry is the time after which an unanswered Snapshot, Relinquish
 	// or LeaveCopy is sent again.
 	HandoverRetry dfuclock.Duration
@@ -59,6 +62,7 @@
 		Window:           24 * dfuclock.Hour,
 		AskRetry:         50 * dfuclock.Millisecond,
 		CopyTimeout:      2 * dfuclock.Second,
+		AvoidTime:        dfuclock.Minute,
 		HandoverRetry:    500 * dfuclock.Millisecond,
 		WriteSpread:      200 * dfuclock.Millisecond,
 		WriteSpreadLimit: 5 * dfuclock.Second,
--- a/core/request/dfuclaim/copy.go
+++ b/core/request/dfuclaim/copy.go
@@ -2,9 +2,10 @@
 
 import "dragonflyusher/core/process/dfuident"
 
-// onAsk records the owner's claim and acknowledges it. Once this copy holder
-// has begun to take over, left or been replaced it refuses, so that an owner
-// that was paused can't run anything that this node doesn't know of.
+// onAsk records the owner's claim and acknowledges it. Once this node has taken
+// over, left or been replaced it refuses, so that an owner that was paused can't
+// run anything that its successor doesn't know of. While a takeover is under
+// way it still acknowledges: it will own the shard with these very records.
 func (m *Machine) onAsk(from dfuident.Member, a Ask) {
 	s := m.shardAt(a.Term.Shard)
 	if s == nil || s.entry.Generation < a.Term.Generation {
@@ -14,7 +15,7 @@
 	refuse := Refuse{Term: a.Term, Key: a.Key, Sequence: a.Sequence}
 	current := s.role == roleCopy && s.term() == a.Term && s.entry.Owner == from
 	switch {
-	case !current || s.blocked || s.silent || s.alone:
+	case !current || s.silent || s.alone:
 		m.send(from, refuse)
 	case !s.synced:
 		// The owner asks again after its snapshot arrives.
@@ -47,7 +48,7 @@
 func (m *Machine) onSnapshot(from dfuident.Member, sn Snapshot) {
 	m.adopt(sn.Revision, sn.Table)
 	s := m.copied(from, sn.Term)
-	if s == nil || s.blocked || s.silent {
+	if s == nil || s.silent {
 		return
 	}
 	if !s.synced {
--- a/core/request/dfuclaim/doc.go
+++ b/core/request/dfuclaim/doc.go
@@ -9,7 +9,7 @@
 // a key from running twice without any lease or timeout:
 //
 //   - Only a synchronized copy holder takes over from an owner that is merely
-//     suspected, and it refuses acknowledgements before it tries to.
+//     suspected, and from then on it refuses acknowledgements.
 //   - An owner or a copy holder acts alone only after the other has stated
 //     that it will never act in that generation again, or by the table.
 //   - Anybody else needs evidence that both holders' runs have ended.
--- a/core/request/dfuclaim/message.go
+++ b/core/request/dfuclaim/message.go
@@ -33,8 +33,8 @@
 	Sequence Sequence
 }
 
-// Refuse says that the copy holder did not record the claim and that it has
-// begun to take over or holds no role in the generation.
+// Refuse says that the copy holder did not record the claim, since it is not or
+// no longer the copy holder in the generation.
 type Refuse struct {
 	Term     Term
 	Key      dfuident.Key
--- a/core/request/dfuclaim/ownership.go
+++ b/core/request/dfuclaim/ownership.go
@@ -11,7 +11,7 @@
 		return
 	}
 	if m.store.pending != nil && revision > m.store.pending.expect {
-		m.endWrite()
+		m.store.pending = nil
 	}
 	m.store.known = true
 	m.revision, m.table = revision, table.clone()
@@ -26,15 +26,15 @@
 	}
 }
 
-// enter moves a shard to the generation of an entry. The records stay only if
-// this node held all of them in the generation just before; otherwise this
-// node, if it is the owner, wrote a floor above everything ever granted.
+// enter moves a shard to the generation of an entry. Only a run itself writes
+// itself as the owner, so an owner's records stay if they were complete, and
+// otherwise the entry's floor is above everything ever granted.
 func (m *Machine) enter(s *shard, e ShardEntry) {
 	if e.Generation <= s.entry.Generation {
 		s.entry.Epoch = max(s.entry.Epoch, e.Epoch)
 		return
 	}
-	keep := s.complete() && e.Generation == s.entry.Generation+1
+	keep := s.complete()
 	old := s.role
 	s.entry, s.role = e, roleOf(e, m.self)
 	if !keep || s.role != roleOwner {
@@ -42,7 +42,7 @@
 	}
 	s.records.floor = max(s.records.floor, e.Floor)
 	s.alone = s.role == roleOwner && e.Copy.IsZero()
-	s.silent, s.silentAcked, s.synced, s.blocked = false, false, false, false
+	s.silent, s.silentAcked, s.synced = false, false, false
 	s.copyReady, s.unanswered = false, false
 	s.handoverAt = m.now
 	m.logRole(s, old)
@@ -143,17 +143,10 @@
 // planGranted returns what the node that decides on a shard's claims wants.
 func (m *Machine) planGranted(s *shard) (ShardEntry, Transition) {
 	e := s.entry
-	best := m.roster.copyFor(m.service, s.index, m.self)
-	if m.unreachable(s) {
-		if other := m.roster.without(e.Copy).copyFor(m.service, s.index, m.self); !other.IsZero() {
-			next := m.owned(s, s.records.floor)
-			next.Copy = other
-			return next, TransitionReplacesCopy
-		}
-	}
+	best := m.bestCopy(s)
 	switch {
 	case s.role == roleCopy:
-		return m.owned(s, s.records.floor), TransitionOwns
+		return m.owned(s, s.records.floor), TransitionConfirms
 	case m.leaving && best.IsZero():
 		return ShardEntry{
 			Generation: e.Generation + 1, Floor: s.records.newest(), Epoch: max(m.epoch, e.Epoch),
@@ -162,6 +155,8 @@
 		return m.owned(s, s.records.floor), TransitionReplacesCopy
 	case !e.Copy.IsZero() && !m.roster.serves(e.Copy):
 		return m.owned(s, s.records.floor), TransitionReplacesCopy
+	case m.unreachable(s) && best != e.Copy:
+		return m.owned(s, s.records.floor), TransitionReplacesCopy
 	case e.Epoch < m.epoch:
 		e.Epoch = m.epoch
 		return e, TransitionNotesEpoch
@@ -181,11 +176,25 @@
 	return e, ""
 }
 
+// bestCopy returns the best copy holder for the shard, which is not one that
+// was unreachable lately if there is any other.
+func (m *Machine) bestCopy(s *shard) dfuident.Member {
+	if m.unreachable(s) {
+		s.avoid, s.avoidUntil = s.entry.Copy, m.now.Add(m.cfg.AvoidTime)
+	}
+	if m.now < s.avoidUntil {
+		if best := m.roster.without(s.avoid).copyFor(m.service, s.index, m.self); !best.IsZero() {
+			return best
+		}
+	}
+	return m.roster.copyFor(m.service, s.index, m.self)
+}
+
 // owned returns the entry of the next generation with this node as the owner.
 func (m *Machine) owned(s *shard, floor UnixMs) ShardEntry {
 	return ShardEntry{
 		Owner:      m.self,
-		Copy:       m.roster.copyFor(m.service, s.index, m.self),
+		Copy:       m.bestCopy(s),
 		Generation: s.entry.Generation + 1,
 		Floor:      max(floor, s.entry.Floor),
 		Epoch:      max(m.epoch, s.entry.Epoch),
--- a/core/request/dfuclaim/shard.go
+++ b/core/request/dfuclaim/shard.go
@@ -33,9 +33,6 @@
 
 	// synced means that a copy holder has the owner's records.
 	synced bool
-	// blocked means that a copy holder has a write under way that makes it the
-	// owner. It acknowledges nothing meanwhile.
-	blocked bool
 
 	// copyReady means that an owner knows its copy holder to be synchronized.
 	copyReady bool
@@ -43,6 +40,9 @@
 	// was sent at unansweredAt.
 	unanswered   bool
 	unansweredAt dfuclock.Time
+	// avoid was an unreachable copy holder and is not chosen until avoidUntil.
+	avoid      dfuident.Member
+	avoidUntil dfuclock.Time
 	// handoverAt is when a Snapshot, Relinquish or LeaveCopy is sent next.
 	handoverAt dfuclock.Time
 	// finishes are to be sent to the other holders.
--- a/core/request/dfuclaim/store.go
+++ b/core/request/dfuclaim/store.go
@@ -111,18 +111,10 @@
 	m.do(ReadTable{})
 }
 
-// write asks for a change of the table. From here on a copy holder that takes
-// over acknowledges nothing.
+// write asks for a change of the table.
 func (m *Machine) write(table Table, changes []change) {
 	m.store.pending = &pendingWrite{expect: m.revision, table: table, changes: changes}
 	m.store.fresh = false
-	for _, c := range changes {
-		if len(m.shards) == 0 {
-			break
-		}
-		s := m.shards[c.shard]
-		s.blocked = s.role == roleCopy && !s.alone
-	}
 	for _, c := range changes {
 		e := table.Shards[c.shard]
 		m.do(Log{Shard: c.shard, Generation: e.Generation, Transition: c.transition, Member: e.Copy})
@@ -139,12 +131,12 @@
 	}
 	switch e.Status {
 	case WriteAccepted:
-		m.endWrite()
+		st.pending = nil
 		st.spread, st.writeAt = st.cfg.WriteSpread, 0
 		m.adopt(e.Revision, w.table)
 		m.spreadTable()
 	case WriteConflict:
-		m.endWrite()
+		st.pending = nil
 		st.putOff(m.now)
 	case WriteUncertain:
 		w.uncertain = true
@@ -166,15 +158,6 @@
 	m.adopt(e.Revision, e.Table)
 }
 
-// endWrite forgets the pending write. A copy holder that did not become the
-// owner by it acknowledges claims again.
-func (m *Machine) endWrite() {
-	m.store.pending = nil
-	for _, s := range m.shards {
-		s.blocked = false
-	}
-}
-
 // spreadTable passes the table on to the service's other nodes.
 func (m *Machine) spreadTable() {
 	for _, n := range m.roster.nodes {
