--- a/io/process/dfuoperator/session_test.go
+++ b/io/process/dfuoperator/session_test.go
@@ -35,6 +35,7 @@
 			"operator": runOperator,
 			"switch":   setSwitches,
 			"put":      putRaw,
+			"counts":   countCalls,
 			"node":     startNode,
 		},
 	})
@@ -53,7 +54,9 @@
 	env.Defer(func() { _ = server.Close() })
 	env.Values[storeKey{}] = server
 	env.Setenv("STORE", string(server.Address()))
-	return nil
+	deploy, err := filepath.Abs("../../../deploy")
+	env.Setenv("DEPLOY", deploy)
+	return err
 }
 
 func store(ts *testscript.TestScript) *dfustorestandin.Server {
@@ -80,9 +83,9 @@
 	if status != dfuoperator.ExitOK {
 		text += fmt.Sprintf("exit status %d\n", status)
 	}
-	for _, name := range []string{"STORE", "NODE1", "NODE2", "NODE3"} {
-		if address := ts.Getenv(name); address != "" {
-			text = strings.ReplaceAll(text, address, "$"+name)
+	for _, name := range []string{"STORE", "NODE1", "NODE2", "NODE3", "DEPLOY"} {
+		if value := ts.Getenv(name); value != "" {
+			text = strings.ReplaceAll(text, value, "$"+name)
 		}
 	}
 	appendTranscript(ts, text)
@@ -117,6 +120,13 @@
 	appendTranscript(ts, "put "+strings.Join(args, " ")+"\n")
 }
 
+// countCalls records how many calls the store has had: "counts".
+func countCalls(ts *testscript.TestScript, _ bool, _ []string) {
+	c := store(ts).Counts()
+	appendTranscript(ts, fmt.Sprintf("store calls: get %d, list %d, watch %d, compare-and-swap %d\n",
+		c.Get, c.List, c.Watch, c.CompareAndSwap))
+}
+
 // startNode serves the files of a directory as a node and sets a variable to
 // its address: "node VARIABLE DIRECTORY". Variables in the files are expanded.
 func startNode(ts *testscript.TestScript, _ bool, args []string) {
