core/version/dfurecord: close two ways for an evicted tombstone to come back

A property test over any order of peers' copies, watches and lists of old replicas found that a list could revive a key whose tombstone was evicted during the same list (a crash), or through a newer invalid value. The store's word now counts for an unknown key only as of a revision at or above the greatest evicted tombstone.

--- a/core/process/dfumembership/lists.go
+++ b/core/process/dfumembership/lists.go
@@ -191,10 +191,10 @@
 }
 
 func compareScores(a, b *member) int {
-	return cmp.Or(
-		cmp.Compare(a.score, b.score),
-		cmp.Compare(a.update.Member.Node, b.update.Member.Node),
-	)
+	if a.score != b.score {
+		return cmp.Compare(a.score, b.score)
+	}
+	return cmp.Compare(a.update.Member.Node, b.update.Member.Node)
 }
 
 func comparePlaces(a, b dfuident.Place) int {
--- a/core/version/dfurecord/exchange.go
+++ b/core/version/dfurecord/exchange.go
@@ -83,8 +83,10 @@
 	changedAt dfuclock.Time
 	compareAt dfuclock.Time
 	readAt    dfuclock.Time
-	actions   []Action
-	changed   []string
+	// doubtAt is when an unproven record next makes the node read the store.
+	doubtAt dfuclock.Time
+	actions []Action
+	changed []string
 }
 
 // NewExchange returns the exchange of a node that has no peers yet.
@@ -216,7 +218,7 @@
 		}
 	} else {
 		for _, r := range e.Records {
-			if x.set.MergeFromStore(r).Changed() {
+			if x.set.MergeFromStore(r, e.Revision).Changed() {
 				x.note(r.Key)
 			}
 		}
@@ -347,9 +349,15 @@
 func (x *Exchange) take(now dfuclock.Time, msg Message) {
 	for _, r := range msg.Records {
 		delete(x.fetching, r.Key)
-		if x.set.MergeFromPeer(r).Changed() {
+		v := x.set.MergeFromPeer(r)
+		if v.Changed() {
 			x.note(r.Key)
 		}
+		if v == Unproven && !now.Before(x.doubtAt) {
+			x.doubtAt = now.Add(x.cfg.QuietPeriod)
+			x.counts.Reads++
+			x.do(Read{})
+		}
 	}
 	if !x.synced && len(x.changed) > 0 {
 		x.compare(now, msg.From)
--- /dev/null
+++ b/core/version/dfurecord/property_test.go
@@ -0,0 +1,117 @@
+package dfurecord_test
+
+import (
+	"fmt"
+	"testing"
+
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/version/dfurecord"
+
+	"pgregory.net/rapid"
+)
+
+const historyKeys = 6
+
+// history is all that a store has ever held, in the order of revisions.
+type history []dfurecord.Record
+
+func drawHistory(t *rapid.T) history {
+	var h history
+	for i := range rapid.IntRange(1, 40).Draw(t, "writes") {
+		r := dfurecord.Record{
+			Key:      fmt.Sprintf("k%d", rapid.IntRange(0, historyKeys-1).Draw(t, "key")),
+			Revision: dfuident.Revision(i + 1),
+		}
+		switch rapid.SampledFrom([]string{"good", "bad", "delete"}).Draw(t, "kind") {
+		case "good":
+			r.Value = []byte("good")
+		case "bad":
+			r.Value = []byte("bad")
+		default:
+			r.Deleted = true
+		}
+		h = append(h, r)
+	}
+	return h
+}
+
+// at returns the live records as of a revision.
+func (h history) at(revision int) []dfurecord.Record {
+	newest := make(map[string]dfurecord.Record)
+	for _, r := range h[:revision] {
+		newest[r.Key] = r
+	}
+	var live []dfurecord.Record
+	for i := range historyKeys {
+		if r, ok := newest[fmt.Sprintf("k%d", i)]; ok && !r.Deleted {
+			live = append(live, r)
+		}
+	}
+	return live
+}
+
+// TestRevisionNeverFalls merges a store's records in any order: late and
+// repeated from peers, from watches, and in lists of old replicas. What is in
+// force of a key never goes back, even past the eviction of its tombstone.
+func TestRevisionNeverFalls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := drawHistory(t)
+		s := dfurecord.New(dfurecord.Limits{Keys: historyKeys, Tombstones: 2, ValueBytes: 16}, checkValue)
+		greatest := make(map[string]dfuident.Revision)
+		for range rapid.IntRange(1, 60).Draw(t, "merges") {
+			revision := rapid.IntRange(1, len(h)).Draw(t, "revision")
+			r := h[revision-1]
+			switch rapid.SampledFrom([]string{"peer", "watch", "list"}).Draw(t, "way") {
+			case "peer":
+				s.MergeFromPeer(r)
+			case "watch":
+				s.MergeFromStore(r, r.Revision)
+			default:
+				s.MergeList("k", h.at(revision), r.Revision)
+			}
+			checkNoFall(t, s, greatest)
+		}
+	})
+}
+
+func checkNoFall(t *rapid.T, s *dfurecord.Set, greatest map[string]dfuident.Revision) {
+	for i := range historyKeys {
+		key := fmt.Sprintf("k%d", i)
+		inForce := s.Revisions(key).InForce
+		if inForce != 0 && inForce < greatest[key] {
+			t.Fatalf("%s fell from revision %d to %d", key, greatest[key], inForce)
+		}
+		greatest[key] = max(greatest[key], inForce)
+	}
+}
+
+// TestCopiesConverge gives two sets any part of a history each: exchanging what
+// their digests name makes them equal.
+func TestCopiesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := drawHistory(t)
+		a, b := dfurecord.New(limitsFor(h), checkValue), dfurecord.New(limitsFor(h), checkValue)
+		for _, r := range h {
+			if rapid.Bool().Draw(t, "a has it") {
+				a.MergeFromPeer(r)
+			}
+			if rapid.Bool().Draw(t, "b has it") {
+				b.MergeFromPeer(r)
+			}
+		}
+		wanted, newer := a.Compare(b.Buckets(), b.Summaries(a.Buckets()))
+		for _, r := range b.Records(wanted, 1<<20) {
+			a.MergeFromPeer(r)
+		}
+		for _, r := range a.Records(newer, 1<<20) {
+			b.MergeFromPeer(r)
+		}
+		if a.Digest() != b.Digest() {
+			t.Fatalf("copies differ: %v and %v", a.Summaries(nil), b.Summaries(nil))
+		}
+	})
+}
+
+func limitsFor(h history) dfurecord.Limits {
+	return dfurecord.Limits{Keys: len(h), Tombstones: len(h), ValueBytes: 16}
+}
--- a/core/version/dfurecord/record.go
+++ b/core/version/dfurecord/record.go
@@ -85,14 +85,6 @@
 // Check returns an error if a value must not come into force for its key.
 type Check func(key string, value []byte) error
 
-// source tells where a record came from.
-type source uint8
-
-const (
-	fromPeer source = iota
-	fromStore
-)
-
 func hasPrefix(key, prefix string) bool {
 	return strings.HasPrefix(key, prefix)
 }
--- a/core/version/dfurecord/set.go
+++ b/core/version/dfurecord/set.go
@@ -29,6 +29,8 @@
 	// noted is above inForce.Revision only while invalid is not empty.
 	noted   Record
 	invalid string
+	// floor is the set's when the key was added.
+	floor dfuident.Revision
 }
 
 // New returns an empty set. The check decides which values may come into
@@ -42,13 +44,14 @@
 
 // MergeFromPeer merges one record of a peer's copy.
 func (s *Set) MergeFromPeer(r Record) Verdict {
-	return s.merge(r, fromPeer)
+	return s.merge(r, 0)
 }
 
-// MergeFromStore merges one record that the store itself returned. The store
-// may have answered from an old replica, so the revision still decides.
-func (s *Set) MergeFromStore(r Record) Verdict {
-	return s.merge(r, fromStore)
+// MergeFromStore merges one record that the store itself returned as of a
+// revision. The store may have answered from an old replica, so the revision
+// still decides.
+func (s *Set) MergeFromStore(r Record, asOf dfuident.Revision) Verdict {
+	return s.merge(r, asOf)
 }
 
 // MergeList merges the store's whole list of the keys under a prefix as of a
@@ -60,17 +63,17 @@
 	var changed []Record
 	for _, r := range listed {
 		present[r.Key] = true
-		if s.MergeFromStore(r).Changed() {
+		if s.MergeFromStore(r, revision).Changed() {
 			changed = append(changed, r)
 		}
 	}
 	for _, key := range s.keys(prefix) {
-		h := s.held[key]
-		if present[key] || h.noted.Deleted || h.noted.Revision > revision {
+		h, ok := s.held[key]
+		if !ok || present[key] || h.noted.Deleted || h.noted.Revision > revision {
 			continue
 		}
 		tombstone := Record{Key: key, Revision: revision, Deleted: true}
-		if s.MergeFromStore(tombstone).Changed() {
+		if s.MergeFromStore(tombstone, revision).Changed() {
 			changed = append(changed, tombstone)
 		}
 	}
@@ -139,19 +142,21 @@
 	return s.counts[v]
 }
 
-func (s *Set) merge(r Record, from source) Verdict {
-	v := s.decide(r, from)
+// merge merges a record that the store held as of a revision, or zero if a peer
+// held it.
+func (s *Set) merge(r Record, asOf dfuident.Revision) Verdict {
+	v := s.decide(r, asOf)
 	s.counts[v]++
 	return v
 }
 
-func (s *Set) decide(r Record, from source) Verdict {
+func (s *Set) decide(r Record, asOf dfuident.Revision) Verdict {
 	h, ok := s.held[r.Key]
 	if !ok {
-		if v, refused := s.refuseNew(r, from); refused {
+		if v, refused := s.refuseNew(r, asOf); refused {
 			return v
 		}
-		h = &held{}
+		h = &held{floor: s.floor}
 	}
 	if dfuident.Bytes(len(r.Value)) > s.limits.ValueBytes {
 		return Full
@@ -159,6 +164,9 @@
 	if r.Revision < h.inForce.Revision {
 		return Stale
 	}
+	if h.inForce.Revision == 0 && r.Revision <= h.floor && asOf < h.floor {
+		return Unproven
+	}
 	if r.Revision == h.inForce.Revision || (r.Revision == h.noted.Revision && h.invalid != "") {
 		return Known
 	}
@@ -172,9 +180,10 @@
 	return v
 }
 
-// refuseNew decides whether a key that isn't held may be added.
-func (s *Set) refuseNew(r Record, from source) (Verdict, bool) {
-	if from == fromPeer && r.Revision <= s.floor {
+// refuseNew decides whether a key that isn't held may be added. One that may
+// have been deleted since needs the word of the store from after the floor.
+func (s *Set) refuseNew(r Record, asOf dfuident.Revision) (Verdict, bool) {
+	if r.Revision <= s.floor && asOf < s.floor {
 		return Unproven, true
 	}
 	if r.Revision == 0 || (!r.Deleted && s.live >= s.limits.Keys) {
@@ -225,7 +234,7 @@
 	}
 	var oldest string
 	for key, h := range s.held {
-		if h.isTombstone() && (oldest == "" || h.noted.Revision < s.held[oldest].noted.Revision) {
+		if h.isTombstone() && (oldest == "" || h.olderThan(s.held[oldest], key < oldest)) {
 			oldest = key
 		}
 	}
@@ -235,6 +244,15 @@
 	delete(s.held, oldest)
 }
 
+// olderThan orders by revision and then as told. A list gives several
+// tombstones the same revision.
+func (h *held) olderThan(other *held, tie bool) bool {
+	if h.noted.Revision == other.noted.Revision {
+		return tie
+	}
+	return h.noted.Revision < other.noted.Revision
+}
+
 func (h *held) isTombstone() bool {
 	return h.noted.Deleted
 }
