core/request/dfuclaim: hand shards over when the local target drains

The roster shows an operator's drain of a target as a node that is leaving, which may be taken back, unlike the stop of the node. The owner hands its shards to their copy holders at once, since its gate refuses their requests, and gets them back by the rebalance.

A write that the store certainly refused counts as rejected, like a conflict.

--- a/core/request/dfuclaim/event.go
+++ b/core/request/dfuclaim/event.go
@@ -80,8 +80,11 @@
 
 // The outcomes of a write.
 const (
-	WriteAccepted  WriteStatus = "accepted"
-	WriteConflict  WriteStatus = "conflict"
+	WriteAccepted WriteStatus = "accepted"
+	// WriteRejected means that the write has and will have no effect, because
+	// of a conflict or since the store certainly didn't get it.
+	WriteRejected WriteStatus = "rejected"
+	// WriteUncertain means that it may have taken effect or yet will.
 	WriteUncertain WriteStatus = "uncertain"
 )
 
--- a/core/request/dfuclaim/handover.go
+++ b/core/request/dfuclaim/handover.go
@@ -42,13 +42,20 @@
 }
 
 // mayRelinquish reports whether the owner should cease granting in favor of
-// its copy holder: because this node leaves, or for the sake of balance. It
+// its copy holder: because this node leaves or drains, or for balance. It
 // must not while a write of its own that changes the shard may take effect.
 func (m *Machine) mayRelinquish(s *shard) bool {
 	if s.role != roleOwner || s.alone || m.store.touches(s.index) || !m.roster.stays(s.entry.Copy) {
 		return false
 	}
-	return m.leaving || s.copyReady && m.rebalanceTarget(s) == s.entry.Copy
+	return m.leaving || m.draining() || s.copyReady && m.rebalanceTarget(s) == s.entry.Copy
+}
+
+// draining reports whether the roster shows this node to be leaving. That may
+// be taken back, as when an operator drains its target for a while.
+func (m *Machine) draining() bool {
+	n, ok := m.roster.find(m.self.Node)
+	return ok && n.Member == m.self && n.State == NodeLeaving
 }
 
 // relinquish ceases granting for good in this generation.
--- a/core/request/dfuclaim/roster.go
+++ b/core/request/dfuclaim/roster.go
@@ -9,8 +9,9 @@
 // NodeState is what membership says of a node.
 type NodeState string
 
-// The states of a node. A node that is leaving is still alive but is given no
-// shards. One that left has stated so after its machine was told of Leaving.
+// The states of a node. A node that is leaving, or whose target drains, is still
+// alive but is given no shards. One that left has stated so for good after its
+// machine was told of Leaving.
 const (
 	NodeAlive   NodeState = "alive"
 	NodeLeaving NodeState = "leaving"
--- a/core/request/dfuclaim/store.go
+++ b/core/request/dfuclaim/store.go
@@ -135,7 +135,7 @@
 		st.spread, st.writeAt = st.cfg.WriteSpread, 0
 		m.adopt(e.Revision, w.table)
 		m.spreadTable()
-	case WriteConflict:
+	case WriteRejected:
 		st.pending = nil
 		st.putOff(m.now)
 	case WriteUncertain:
--- a/core/request/dfuclaim/table.go
+++ b/core/request/dfuclaim/table.go
@@ -15,11 +15,6 @@
 // MaxShards bounds the number of shards of a service.
 const MaxShards = 256
 
-// StoreKey returns the store key that holds a service's table.
-func StoreKey(service dfuident.Service) string {
-	return "claims/" + string(service)
-}
-
 // ShardEntry says who holds one shard. A zero Owner means that the last owner
 // released the shard; a zero Copy means that the owner acts alone.
 type ShardEntry struct {
--- a/core/request/dfuclaim/world_test.go
+++ b/core/request/dfuclaim/world_test.go
@@ -318,7 +318,7 @@
 		reply(dfuclaim.TableSeen{Revision: w.revision, Table: w.table})
 		return
 	}
-	result := dfuclaim.WriteResult{Status: dfuclaim.WriteConflict}
+	result := dfuclaim.WriteResult{Status: dfuclaim.WriteRejected}
 	if mode != storeDown && op.write.Expect == w.revision {
 		w.revision++
 		w.writes++
