--- a/standin/dfustorestandin/server.go
+++ b/standin/dfustorestandin/server.go
@@ -126,9 +126,7 @@
 // available refuses or holds a call while the store is down.
 func (s *Server) available(ctx *fasthttp.RequestCtx) bool {
 	for {
-		s.mu.Lock()
-		down, flipped := s.switches.Down, s.flipped
-		s.mu.Unlock()
+		down, flipped := s.down()
 		switch down {
 		case DownNo:
 			return true
--- a/standin/dfustorestandin/switches.go
+++ b/standin/dfustorestandin/switches.go
@@ -32,8 +32,10 @@
 	LoseRequests int `json:"lose_requests"`
 	// LoseReplies is how many writes to come take effect without a reply.
 	LoseReplies int `json:"lose_replies"`
-	// ThenDown is how the store is down once the last of these was lost.
-	ThenDown Down `json:"then_down"`
+	// ThenRefuse is how many calls are refused once the last of these was lost.
+	ThenRefuse int `json:"then_refuse"`
+	// Refuse is how many calls to come are refused without effect.
+	Refuse int `json:"refuse"`
 	// Stale makes reads and watches see the content of the moment in which
 	// the switch was set.
 	Stale bool `json:"stale"`
@@ -101,6 +103,18 @@
 	*r.count(&s.counts)++
 }
 
+// down returns how the store is down for the present call and a channel that is
+// closed when the switches change.
+func (s *Server) down() (Down, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.switches.Refuse > 0 {
+		s.switches.Refuse--
+		return DownRefuse, s.flipped
+	}
+	return s.switches.Down, s.flipped
+}
+
 // loses counts down one of the numbers of messages to lose and reports whether
 // the present one is lost.
 func (s *Server) loses(left func(*Switches) *int) bool {
@@ -111,8 +125,8 @@
 		return false
 	}
 	*n--
-	if s.switches.LoseRequests+s.switches.LoseReplies == 0 && s.switches.ThenDown != DownNo {
-		s.switches.Down = s.switches.ThenDown
+	if s.switches.LoseRequests+s.switches.LoseReplies == 0 {
+		s.switches.Refuse += s.switches.ThenRefuse
 	}
 	return true
 }
