io/process/dfunode: play region cuts, silent links and frozen nodes

Cause: only planned stops and store outages were played between real processes. Ruled out: network namespaces, which need rights that a newcomer may lack; the relay tells places by loopback address, since a node now dials from its own address.

--- a/io/connection/dfupeer/link.go
+++ b/io/connection/dfupeer/link.go
@@ -73,8 +73,8 @@
 	return n, err
 }
 
-func dial(ctx context.Context, address string, timing Timing, traffic *Traffic) (*link, error) {
-	dialer := net.Dialer{Timeout: timing.Dial}
+func dial(ctx context.Context, address string, local net.IP, timing Timing, traffic *Traffic) (*link, error) {
+	dialer := net.Dialer{Timeout: timing.Dial, LocalAddr: &net.TCPAddr{IP: local}}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "dial %s", address), ErrNotSent)
--- a/io/connection/dfupeer/pool.go
+++ b/io/connection/dfupeer/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +34,7 @@
 // Pool holds the links to other nodes.
 type Pool struct {
 	timing  Timing
+	local   net.IP
 	mu      sync.Mutex
 	slots   map[slotKey]*slot
 	closed  bool
@@ -50,9 +52,9 @@
 	link atomic.Pointer[link]
 }
 
-// NewPool returns a pool without links.
-func NewPool(timing Timing) *Pool {
-	return &Pool{timing: timing, slots: map[slotKey]*slot{}}
+// NewPool returns a pool without links. Links are opened from the local address.
+func NewPool(timing Timing, local net.IP) *Pool {
+	return &Pool{timing: timing, local: local, slots: map[slotKey]*slot{}}
 }
 
 // Call makes one call on a lane to a peer. The error is marked ErrNotSent when
@@ -138,7 +140,7 @@
 	if l := s.link.Load(); l != nil && !l.ended() {
 		return l, nil
 	}
-	l, err := dial(ctx, string(key.address), p.timing, &p.traffic[key.lane])
+	l, err := dial(ctx, string(key.address), p.local, p.timing, &p.traffic[key.lane])
 	if err != nil {
 		return nil, err
 	}
--- a/io/process/dfunode/fleet_test.go
+++ b/io/process/dfunode/fleet_test.go
@@ -19,7 +19,10 @@
 	"testing"
 	"time"
 
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/io/process/dfusettings"
 	"dragonflyusher/standin/dfucallerstandin"
+	"dragonflyusher/standin/dfurelaystandin"
 	"dragonflyusher/standin/dfutargetstandin"
 
 	"github.com/google/uuid"
@@ -61,6 +64,7 @@
 			"calls":      func(ts *testscript.TestScript, _ bool, args []string) { of(ts).calls(args) },
 			"signal":     func(ts *testscript.TestScript, _ bool, args []string) { of(ts).signal(args[0], args[1:]) },
 			"restart":    func(ts *testscript.TestScript, _ bool, args []string) { of(ts).restart(args) },
+			"network":    func(ts *testscript.TestScript, _ bool, args []string) { of(ts).network(args) },
 			"store":      func(ts *testscript.TestScript, _ bool, args []string) { of(ts).store(args[0]) },
 			"target":     func(ts *testscript.TestScript, _ bool, args []string) { of(ts).target(args[0], args[1]) },
 			"operator":   func(ts *testscript.TestScript, _ bool, args []string) { of(ts).operator(args) },
@@ -117,6 +121,7 @@
 	store := lines[0][strings.LastIndex(lines[0], " ")+1:]
 	f.octet = strings.Split(store, ".")[1]
 	f.run("store", "storestandin", "--listen", f.own(store))
+	f.startRelay(lines[1:])
 	for _, line := range lines[1:] {
 		fields := strings.Fields(line)
 		m := member{fields[0], fields[1], f.own(fields[2]), fields[3]}
@@ -131,14 +136,70 @@
 	return strings.ReplaceAll(text, "127."+f.octet+".", "127.1"+f.octet+".")
 }
 
-func (f *fleet) startNode(m member) {
-	data, err := os.ReadFile(filepath.Join(root, "deploy", f.name, "settings", m.node+".json"))
+// settings returns a node's settings. Other nodes reach it through the relay.
+func (f *fleet) settings(m member) dfusettings.Settings {
+	path := filepath.Join(root, "deploy", f.name, "settings", m.node+".json")
+	data, err := os.ReadFile(path)
+	f.ts.Check(err)
+	s, err := dfusettings.Parse(path, []byte(f.own(string(data))))
 	f.ts.Check(err)
+	s.Advertise.Peer = dfuident.Address(m.address + ":7300")
+	return s
+}
+
+func (f *fleet) startNode(m member) {
 	path := filepath.Join(f.dir, m.node+".json")
-	f.ts.Check(os.WriteFile(path, []byte(f.own(string(data))), 0o644))
+	f.writeJSON(path, f.settings(m))
 	f.run(m.node, "dragonflyusherd", "--settings", path)
 }
 
+func (f *fleet) writeJSON(path string, value any) {
+	data, err := json.Marshal(value)
+	f.ts.Check(err)
+	f.ts.Check(os.WriteFile(path, data, 0o644))
+}
+
+// startRelay starts the network between the nodes, with the delays of the
+// brief.
+func (f *fleet) startRelay(lines []string) {
+	cfg := dfurelaystandin.Config{
+		Admin:  "127.1" + f.octet + ".0.1:7400",
+		Delays: dfurelaystandin.Delays{SameRegion: 1000, FarRegion: 8000},
+	}
+	for _, line := range lines {
+		fields := strings.Fields(line)
+		m := member{fields[0], fields[1], f.own(fields[2]), fields[3]}
+		s := f.settings(m)
+		cfg.Routes = append(cfg.Routes, dfurelaystandin.Route{Listen: m.address + ":7300", To: m.address + ":7200"})
+		cfg.Places = append(cfg.Places, dfurelaystandin.Place{Prefix: m.address + ":", Zone: string(s.Zone), Region: string(s.Region)})
+	}
+	path := filepath.Join(f.dir, "relay.json")
+	f.writeJSON(path, cfg)
+	f.run("relay", "relaystandin", "--config", path)
+}
+
+// network sets a fault between two places: "network KIND A B".
+func (f *fleet) network(args []string) {
+	fault := dfurelaystandin.Fault{Kind: args[0]}
+	if len(args) > 2 {
+		fault.A, fault.B = f.place(args[1]), f.place(args[2])
+	}
+	data, err := json.Marshal(fault)
+	f.ts.Check(err)
+	f.post("http://127.1"+f.octet+".0.1:7400/admin", string(data))
+	f.say("network %s", strings.Join(args, " "))
+}
+
+// place returns the address of a node, or the name of a zone or region.
+func (f *fleet) place(name string) string {
+	for _, m := range f.members {
+		if m.node == name {
+			return m.address + ":"
+		}
+	}
+	return name
+}
+
 func (f *fleet) startTarget(m member) {
 	f.run("target-"+m.node, "targetstandin", "--name", m.node, "--service", m.service,
 		"--node", m.address+":7100", "--slots", m.slots, "--effects", f.effectsPath(m))
@@ -447,6 +508,9 @@
 	cmd := exec.Command(filepath.Join(f.bin, name), args...)
 	cmd.Dir = f.dir
 	out, err := cmd.CombinedOutput()
+	if cmd.ProcessState == nil {
+		f.ts.Fatalf("%s: %s", name, err)
+	}
 	f.say("%s %s: exit status %d", name, strings.Join(shown, " "), cmd.ProcessState.ExitCode())
 	switch {
 	case output:
--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -1,6 +1,7 @@
 package dfunode
 
 import (
+	"cmp"
 	"context"
 	"hash/maphash"
 	"math/rand/v2"
@@ -76,11 +77,11 @@
 		level:    level,
 		clock:    dfuclock.New(),
 		metrics:  metrics.NewRegistry(),
-		pool:     dfupeer.NewPool(dfupeer.DefaultTiming()),
 	}
 	if err := n.listen(ctx); err != nil {
 		return nil, err
 	}
+	n.pool = dfupeer.NewPool(dfupeer.DefaultTiming(), n.peer.Addr().(*net.TCPAddr).IP)
 	tracer, err := dfutrace.New(ctx, dfutrace.Config{
 		Node:           settings.Node,
 		SamplePerMille: settings.Trace.SamplePerMille,
@@ -101,7 +102,7 @@
 	return n, n.server.Register(dfucontrol.ReceiverName, n.control.Receiver())
 }
 
-// Addresses returns where callers and other nodes reach the node.
+// Addresses returns where the node listens for callers and for other nodes.
 func (n *Node) Addresses() (callers, peers dfuident.Address) {
 	return dfuident.Address(n.http.Addr().String()), dfuident.Address(n.peer.Addr().String())
 }
@@ -171,7 +172,9 @@
 	cfg := dfucontrol.DefaultConfig()
 	cfg.Node = n.settings.Node
 	cfg.Place = n.place()
-	cfg.HTTP, cfg.Peer = n.Addresses()
+	callers, peers := n.Addresses()
+	cfg.HTTP = cmp.Or(n.settings.Advertise.HTTP, callers)
+	cfg.Peer = cmp.Or(n.settings.Advertise.Peer, peers)
 	return dfucontrol.New(cfg, dfucontrol.Deps{
 		Store:   n.store,
 		Caller:  controlCaller{n.pool},
--- a/io/process/dfusettings/settings.go
+++ b/io/process/dfusettings/settings.go
@@ -28,10 +28,13 @@
 	Region dfuident.Region `json:"region"`
 	Zone   dfuident.Zone   `json:"zone"`
 	Listen Listen          `json:"listen"`
-	Store  Store           `json:"store"`
-	Log    Log             `json:"log"`
-	Trace  Trace           `json:"trace"`
-	Limits Limits          `json:"limits"`
+	// Advertise holds the addresses that others are told where they differ
+	// from those of Listen.
+	Advertise Listen `json:"advertise"`
+	Store     Store  `json:"store"`
+	Log       Log    `json:"log"`
+	Trace     Trace  `json:"trace"`
+	Limits    Limits `json:"limits"`
 	// DrainTimeout bounds how long a planned stop waits for requests in
 	// progress, in ms.
 	DrainTimeout dfuclock.Duration `json:"drain_timeout_ms"`
@@ -122,6 +125,8 @@
 	c.notEmpty("zone", string(s.Zone))
 	c.address("listen.http", s.Listen.HTTP)
 	c.address("listen.peer", s.Listen.Peer)
+	c.optionalAddress("advertise.http", s.Advertise.HTTP)
+	c.optionalAddress("advertise.peer", s.Advertise.Peer)
 	c.address("store.address", s.Store.Address)
 	c.positive("store.timeout_ms", int64(s.Store.Timeout))
 	c.positive("drain_timeout_ms", int64(s.DrainTimeout))
@@ -154,6 +159,12 @@
 	}
 }
 
+func (c checker) optionalAddress(path string, address dfuident.Address) {
+	if address != "" {
+		c.address(path, address)
+	}
+}
+
 func (c checker) positive(path string, value int64) {
 	if value <= 0 {
 		c.add(path, "is %d, must be positive", value)
