--- a/core/request/dfuclaim/machine.go
+++ b/core/request/dfuclaim/machine.go
@@ -81,7 +81,12 @@
 	return out
 }
 
-// Table returns the latest table known and its revision, zero if none is.
+// Revision returns the revision of the latest table known, zero if none is.
+func (m *Machine) Revision() dfuident.Revision {
+	return m.revision
+}
+
+// Table returns the latest table known and its revision.
 func (m *Machine) Table() (Table, dfuident.Revision) {
 	return m.table.clone(), m.revision
 }
--- /dev/null
+++ b/io/request/dfuclaimer/duty_test.go
@@ -0,0 +1,200 @@
+package dfuclaimer_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/request/dfuclaim"
+	"dragonflyusher/core/request/dfuoutcome"
+	"dragonflyusher/core/version/dfuroster"
+	"dragonflyusher/io/connection/dfupeer"
+	"dragonflyusher/io/process/dfustore"
+	"dragonflyusher/io/request/dfuadmission"
+	"dragonflyusher/io/request/dfuclaimer"
+	"dragonflyusher/io/request/dfumessage"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+)
+
+const service dfuident.Service = "order-desk"
+
+// memoryStore holds one key; while it is down no call has an effect.
+type memoryStore struct {
+	mu     sync.Mutex
+	record dfustore.Record
+	down   bool
+}
+
+func (s *memoryStore) Get(context.Context, string) (dfustore.Record, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return dfustore.Record{}, errors.WithStack(dfustore.ErrUnavailable)
+	}
+	return s.record, nil
+}
+
+func (s *memoryStore) CompareAndSwap(_ context.Context, key string, expect dfuident.Revision, value []byte, _ dfustore.LeaseID) (dfuident.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.down:
+		return 0, errors.WithStack(dfustore.ErrUncertain)
+	case s.record.Revision != expect:
+		return 0, errors.WithStack(&dfustore.ConflictError{Current: s.record})
+	}
+	s.record = dfustore.Record{Key: key, Value: value, Revision: expect + 1}
+	return s.record.Revision, nil
+}
+
+func (s *memoryStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// control sends calls on the control lane.
+type control struct{ pool *dfupeer.Pool }
+
+func (c control) Call(ctx context.Context, to dfuident.Address, method string, args, reply any) error {
+	return c.pool.Call(ctx, to, dfupeer.Control, method, args, reply)
+}
+
+// fleet is three nodes of a service over loopback.
+type fleet struct {
+	t      *testing.T
+	store  *memoryStore
+	view   *dfuroster.View
+	duties map[dfuident.NodeID]*dfuclaimer.Duty
+	ids    uint64
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, store: &memoryStore{}, view: dfuroster.New(), duties: map[dfuident.NodeID]*dfuclaimer.Duty{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+		goleak.VerifyNone(t)
+	})
+	cfg := dfuclaim.DefaultConfig()
+	cfg.Tolerance, cfg.Skew, cfg.WriteSpread = 10, 0, 20*dfuclock.Millisecond
+	for i, id := range []dfuident.NodeID{"a", "b", "c"} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server, err := dfupeer.NewServer(listener)
+		if err != nil {
+			t.Fatal(err)
+		}
+		pool := dfupeer.NewPool(dfupeer.DefaultTiming(), net.IPv4(127, 0, 0, 1))
+		self := dfuident.Member{Node: id, Incarnation: 1}
+		d := dfuclaimer.New(dfuclaimer.Deps{
+			Self: self, Config: cfg, Clock: dfuclock.New(),
+			Wall: func() dfuclaim.UnixMs { return dfuclaim.UnixMs(time.Now().UnixMilli()) },
+			Log:  zap.NewNop(), Metrics: metrics.NewRegistry(),
+			Caller: control{pool}, Store: f.store, Rand: rand.New(rand.NewPCG(1, uint64(i))),
+		})
+		if err := server.Register(dfuclaimer.ReceiverName, d.Receiver()); err != nil {
+			t.Fatal(err)
+		}
+		f.duties[id] = d
+		f.view = f.view.Apply(dfuroster.Change{Nodes: []dfuroster.Node{{
+			Member: self, Service: service, State: dfuroster.Alive,
+			Place: dfuident.Place{Region: "downs", Zone: dfuident.Zone(id)},
+			Peer:  dfuident.Address(listener.Addr().String()),
+		}}})
+		wg.Go(server.Run)
+		wg.Go(func() {
+			d.Run(ctx)
+			pool.Close()
+			server.Close()
+		})
+	}
+	f.setState("", "")
+	return f
+}
+
+// setState shows a node's state to all nodes.
+func (f *fleet) setState(id dfuident.NodeID, state dfuroster.State) {
+	if n, ok := f.view.Node(id); ok {
+		n.State = state
+		f.view = f.view.Apply(dfuroster.Change{Nodes: []dfuroster.Node{n}})
+	}
+	for _, d := range f.duties {
+		d.SetView(f.view)
+	}
+}
+
+// claim asks the key's owner, trying again while there is none, and returns the
+// owner and the verdict.
+func (f *fleet) claim(key dfuident.Key) (dfuident.NodeID, dfuident.RequestID, dfuadmission.Verdict) {
+	for {
+		f.ids++
+		id := dfuident.RequestID{Entry: dfuident.Member{Node: "entry"}, Sequence: f.ids}
+		owner, ok := f.duties["c"].Owner(f.view, service, key)
+		if !ok {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		verdicts := make(chan dfuadmission.Verdict, 1)
+		f.duties[owner.Node].Claim(id, service, key, dfuclock.Minute, func(v dfuadmission.Verdict) { verdicts <- v })
+		v := <-verdicts
+		if v.Reason != dfuoutcome.ReasonNotOwner && v.Reason != dfuoutcome.ReasonDraining {
+			return owner.Node, id, v
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// claimNew claims fresh keys of a node until one is granted.
+func (f *fleet) claimNew(owner dfuident.NodeID) (dfuident.Key, dfuident.RequestID) {
+	for {
+		key := dfuident.Key(uuid.Must(uuid.NewV7()).String())
+		if m, ok := f.duties["c"].Owner(f.view, service, key); ok && m.Node != owner {
+			continue
+		}
+		if node, id, v := f.claim(key); v.Granted && node == owner {
+			return key, id
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// TestOwnerLeavesDuringOutage runs the duties over real connections: a repeat
+// gets the first answer, also at the copy holder after the owner has left while
+// the store is down, and new keys run there.
+func TestOwnerLeavesDuringOutage(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	key, id := f.claimNew("a")
+	f.duties["a"].Finished(id, service, key, &dfumessage.Answer{Status: 201, Body: []byte("order 1")})
+	node, _, v := f.claim(key)
+	is.Equal(node, dfuident.NodeID("a"))
+	is.Equal(v.Outcome, dfuoutcome.Answered)
+	is.Equal(string(v.Answer.Body), "order 1")
+
+	f.store.setDown(true)
+	f.setState("a", dfuroster.Draining)
+	f.duties["a"].Leave()
+	<-f.duties["a"].Left()
+	f.setState("a", dfuroster.Left)
+	node, _, v = f.claim(key)
+	is.True(node != "a")
+	is.Equal(v.Outcome, dfuoutcome.Answered)
+	is.Equal(string(v.Answer.Body), "order 1")
+	f.claimNew(node)
+}
