--- a/core/request/dfuclaim/config.go
+++ b/core/request/dfuclaim/config.go
@@ -28,6 +28,9 @@
 	// HandoverRetry is the time after which an unanswered Snapshot, Relinquish
 	// or LeaveCopy is sent again.
 	HandoverRetry dfuclock.Duration
+	// PlanInterval is how often the machine compares the table with what it
+	// should be.
+	PlanInterval dfuclock.Duration
 	// WriteSpread bounds the random wait before a write of the table, so that
 	// nodes that react to the same event seldom conflict. It doubles with each
 	// failure up to WriteSpreadLimit.
@@ -64,6 +67,7 @@
 		CopyTimeout:      2 * dfuclock.Second,
 		AvoidTime:        dfuclock.Minute,
 		HandoverRetry:    500 * dfuclock.Millisecond,
+		PlanInterval:     100 * dfuclock.Millisecond,
 		WriteSpread:      200 * dfuclock.Millisecond,
 		WriteSpreadLimit: 5 * dfuclock.Second,
 		ReadInterval:     dfuclock.Minute,
--- a/core/request/dfuclaim/golden_test.go
+++ b/core/request/dfuclaim/golden_test.go
@@ -219,3 +219,15 @@
 	}
 	return n
 }
+
+// TestMain raises the property test's default number of checks, which decide
+// within seconds.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		if err := f.Value.Set("2000"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/core/request/dfuclaim/machine.go
+++ b/core/request/dfuclaim/machine.go
@@ -17,9 +17,11 @@
 
 	roster   roster
 	rosterAt dfuclock.Time
-	epoch    uint64
-	leaving  bool
-	left     bool
+	// owners are the nodes that should own each shard, nil if to be computed.
+	owners  []dfuident.Member
+	epoch   uint64
+	leaving bool
+	left    bool
 
 	table    Table
 	revision dfuident.Revision
@@ -125,7 +127,7 @@
 		return
 	}
 	m.roster = roster{nodes: slices.Clone(e.Nodes)}
-	m.rosterAt = m.now
+	m.rosterAt, m.owners = m.now, nil
 }
 
 // onTick does what is due.
--- a/core/request/dfuclaim/ownership.go
+++ b/core/request/dfuclaim/ownership.go
@@ -236,7 +236,10 @@
 	if m.leaving || !m.settled() {
 		return dfuident.Member{}
 	}
-	for i, owner := range m.roster.owners(m.service, len(m.shards)) {
+	if m.owners == nil {
+		m.owners = m.roster.owners(m.service, len(m.shards))
+	}
+	for i, owner := range m.owners {
 		t := m.shards[i]
 		if t.role != roleOwner || owner == m.self && !t.silent {
 			continue
--- a/core/request/dfuclaim/store.go
+++ b/core/request/dfuclaim/store.go
@@ -24,6 +24,8 @@
 	// writeAt is when the next write may begin, zero if none is wished for.
 	writeAt dfuclock.Time
 	readAt  dfuclock.Time
+	// planAt is when the table is next compared with what it should be.
+	planAt dfuclock.Time
 	// lastRead is when the latest read began.
 	lastRead dfuclock.Time
 }
@@ -86,16 +88,19 @@
 		m.read()
 		return
 	}
-	if !st.known || st.pending != nil {
+	if !st.known || st.pending != nil || m.now < st.planAt {
 		return
 	}
+	st.planAt = m.now.Add(m.cfg.PlanInterval)
 	table, changes := m.plan(wall)
 	switch {
 	case len(changes) == 0:
 		st.writeAt, st.fresh = 0, false
 	case st.writeAt == 0:
 		st.writeAt = m.now.Add(st.wait())
+		st.planAt = st.writeAt
 	case m.now < st.writeAt:
+		st.planAt = st.writeAt
 	case !st.fresh:
 		m.read()
 	default:
@@ -149,6 +154,7 @@
 func (m *Machine) onTableSeen(e TableSeen) {
 	st := &m.store
 	st.reading, st.known, st.fresh = false, true, true
+	st.planAt = m.now
 	w := st.pending
 	if w != nil && w.uncertain && e.Revision == w.expect {
 		w.uncertain = false
--- a/core/request/dfuclaim/world_test.go
+++ b/core/request/dfuclaim/world_test.go
@@ -46,6 +46,7 @@
 	ran      map[dfuident.RequestID]bool
 	runs     map[dfuident.Key][]dfuident.RequestID
 	outcomes map[string]int
+	verdicts map[dfuident.RequestID]string
 	labels   map[dfuident.Key]string
 	faults   []string
 	out      strings.Builder
@@ -105,6 +106,7 @@
 		ran:      map[dfuident.RequestID]bool{},
 		runs:     map[dfuident.Key][]dfuident.RequestID{},
 		outcomes: map[string]int{},
+		verdicts: map[dfuident.RequestID]string{},
 		labels:   map[dfuident.Key]string{},
 	}
 }
@@ -237,6 +239,7 @@
 	case dfuclaim.Grant:
 		w.say(n, "grant %s", w.label(a.Request))
 		w.outcomes["grant"]++
+		w.verdicts[a.Request] = "grant"
 		n.gate = append(n.gate, a.Request)
 		if !w.slow {
 			w.handOver(n, 0)
@@ -244,6 +247,7 @@
 	case dfuclaim.Deny:
 		w.say(n, "deny %s %s %s", w.label(a.Request), a.Outcome, a.Reason)
 		w.outcomes[string(a.Outcome)]++
+		w.verdicts[a.Request] = string(a.Outcome)
 		w.outcomes[string(a.Outcome)+" "+string(a.Reason)]++
 		if a.Outcome == dfuoutcome.NotRun {
 			w.notRun[a.Request] = true
@@ -252,6 +256,7 @@
 	case dfuclaim.Replay:
 		w.say(n, "replay %s %d %q", w.label(a.Request), a.Status, a.Answer)
 		w.outcomes["replay"]++
+		w.verdicts[a.Request] = "replay"
 		key := w.requests[a.Request]
 		w.check(string(a.Answer) == string(key), "%s got the answer of %s", a.Request, a.Answer)
 	case dfuclaim.SendPeer:
