core/connection/dfuchoice: let loads ride on refusals only

At 80 % with jumping neighbors the budget of a tenth of the reports was spent on answers' loads that changed nothing, and the refusals that decide between waiting and crossing went without.

The Teller that chose among answers is gone.

dfubudget: a tenth of a window may be spent at once in place of a quarter, so nine tenths of a budget are usable in the long run.

--- a/core/connection/dfuchoice/choice.go
+++ b/core/connection/dfuchoice/choice.go
@@ -57,8 +57,8 @@
 	Wait bool
 }
 
-// Load is what a target's node tells of its target with an answer. It takes 12
-// bytes on the wire.
+// Load is what a target's node tells of its target with a refusal, or by
+// itself.
 type Load struct {
 	InFlight uint16 `json:"in_flight"`
 	Queued   uint16 `json:"queued"`
@@ -70,9 +70,6 @@
 	Sequence uint32 `json:"sequence"`
 }
 
-// LoadBytes is the size of a Load on the wire.
-const LoadBytes dfuident.Bytes = 12
-
 // FeedbackKind says how an attempt ended.
 type FeedbackKind string
 
--- a/core/connection/dfuchoice/target.go
+++ b/core/connection/dfuchoice/target.go
@@ -88,7 +88,7 @@
 
 // noteLoad takes a load unless a newer one is known.
 func (t *targetState) noteLoad(now dfuclock.Time, load Load) {
-	if t.signal.known && int32(load.Sequence-t.signal.load.Sequence) < 0 {
+	if t.signal.known && int16(uint16(load.Sequence)-uint16(t.signal.load.Sequence)) < 0 {
 		return
 	}
 	t.usual = average(t.usual, float64(load.ServiceTime))
--- a/core/process/dfubudget/measuring.go
+++ b/core/process/dfubudget/measuring.go
@@ -12,7 +12,7 @@
 	// burstParts of windowParts of a window's budget may be spent at once; the
 	// rest is the rate.
 	burstParts  = 1
-	windowParts = 4
+	windowParts = 10
 )
 
 // The times that keep the shares of all nodes within the whole.
--- a/measure/policy/scenario.go
+++ b/measure/policy/scenario.go
@@ -96,7 +96,7 @@
 	// BudgetShare is the budget for measuring, as a share of the cost of
 	// reports; loads ride on answers within it.
 	BudgetShare float64
-	// TellAll says that all answers carry a load, not only unusual ones.
+	// TellAll says that all answers carry a load, not only refusals.
 	TellAll bool
 	// Refuse says that the gates refuse early.
 	Refuse bool
--- a/measure/policy/simulation.go
+++ b/measure/policy/simulation.go
@@ -41,13 +41,6 @@
 	sim.build(seed)
 	sim.plan()
 	sim.clock.run(warmUp + measured + second)
-	for _, w := range sim.workers {
-		for cause := dfubudget.CauseProbe; cause <= dfubudget.CauseHealth; cause++ {
-			usage := w.budget.Usage(cause)
-			sim.result.measuring += usage.Bytes
-			sim.result.linkMeasuring += usage.LinkBytes
-		}
-	}
 	return sim.result
 }
 
@@ -65,7 +58,6 @@
 			sim: s, slots: d.Slots, speed: 1, service: float64(firstServiceTime),
 			member: dfuident.Member{Node: dfuident.NodeID(fmt.Sprintf("n%02d", i)), Incarnation: 1},
 			place:  d.Zones[i%len(d.Zones)], budget: dfubudget.NewMeasuring(origin),
-			teller: dfuchoice.NewTeller(),
 		}
 		w.budget.SetBudget(origin, budget)
 		w.budget.SetView(origin, dfubudget.View{Confirmed: origin, Nodes: d.Workers, Joined: 1, Member: true})
@@ -205,8 +197,8 @@
 	}
 }
 
-// answer sends an attempt's end to its entry node, with the load if the budget
-// has room for it.
+// answer sends an attempt's end to its entry node, with the load of a refusal
+// if the budget has room for it.
 func (s *simulation) answer(a *attempt, kind dfuchoice.FeedbackKind, load dfuchoice.Load) {
 	size := answerBytes
 	if kind == dfuchoice.FeedbackRefused {
@@ -215,13 +207,17 @@
 	far := a.call.entry.place.Region != a.worker.place.Region
 	var carried *dfuchoice.Load
 	now := s.clock.now.time()
-	teller, to := a.worker.teller, a.call.entry.member.Node
-	teller.Observe(load)
-	if (s.contender.TellAll || teller.Worth(now, to, load)) && a.worker.budget.Take(now, dfubudget.Spend{
-		Cause: dfubudget.CausePiggyback, Bytes: dfuchoice.LoadBytes, Link: far,
+	carries := s.contender.TellAll || kind == dfuchoice.FeedbackRefused
+	if carries && a.worker.budget.Take(now, dfubudget.Spend{
+		Cause: dfubudget.CausePiggyback, Bytes: dfuchoice.LoadBytes(load), Link: far,
 	}) {
 		carried = &load
-		teller.Told(now, to, load)
+		if s.isMeasured() {
+			s.result.measuring += dfuchoice.LoadBytes(load)
+			if far {
+				s.result.linkMeasuring += dfuchoice.LoadBytes(load)
+			}
+		}
 	}
 	s.transmit(a.worker.place, a.call.entry.place, size, func() { a.call.entry.ended(a, kind, carried) })
 }
--- a/measure/policy/worker.go
+++ b/measure/policy/worker.go
@@ -59,7 +59,6 @@
 	service  float64
 	sequence uint32
 	budget   *dfubudget.Measuring
-	teller   *dfuchoice.Teller
 }
 
 // advance brings the work scale up to now.
