io/process/dfuoperator: leave out measuring that no node reports

Against real nodes status printed "measuring: 0 of 0 bytes", since their status has no such field yet, which reads as a budget of zero.

Proof: with the condition taken out, TestSessions/status fails.

--- a/core/version/dfucatalogue/entry.go
+++ b/core/version/dfucatalogue/entry.go
@@ -62,8 +62,8 @@
 	BodyBytes dfuident.Bytes `json:"body_bytes"`
 	// AnswerBytes is the largest body of an answer.
 	AnswerBytes dfuident.Bytes `json:"answer_bytes"`
-	// Deadline is the longest time that a caller may ask for. It also holds
-	// for a request that names no deadline.
+	// Deadline is the longest time that a request may take. A longer one that
+	// a caller asks for is cut to it.
 	Deadline dfuclock.Duration `json:"deadline_ms"`
 }
 
--- a/io/process/dfuoperator/status.go
+++ b/io/process/dfuoperator/status.go
@@ -233,7 +233,9 @@
 	for _, reason := range slices.Sorted(maps.Keys(refused)) {
 		s.printf("refused %s: %d", reason, refused[reason])
 	}
-	s.printf("measuring: %d of %d bytes", measuring.SpentBytes, measuring.BudgetBytes)
+	if measuring != (measuringStatus{}) {
+		s.printf("measuring: %d of %d bytes", measuring.SpentBytes, measuring.BudgetBytes)
+	}
 }
 
 // showPeers prints which nodes see a peer as other than alive.
