core/request/dfuclaim: take no conflict of a repeated write for its failure

A write with a lost reply is sent again until the table's revision moves. If the first attempt takes effect just before the second, the second one conflicts; the machine then forgot the write and could relinquish, or promise never to take over, in a generation that had ended.

A rejected repeat is now as uncertain as a lost reply, until a later revision is read. Also, a table whose generations fell, which means that somebody deleted and made it anew, is followed rather than ignored.

--- a/core/request/dfuclaim/config.go
+++ b/core/request/dfuclaim/config.go
@@ -74,7 +74,7 @@
 		RebalanceDelay:   10 * dfuclock.Second,
 		Claims:           4096,
 		Limits: Limits{
-			Records:          16384,
+			Records:          8192,
 			AnswerBytes:      4 << 10,
 			ShardAnswerBytes: 1 << 20,
 		},
--- a/core/request/dfuclaim/ownership.go
+++ b/core/request/dfuclaim/ownership.go
@@ -30,7 +30,7 @@
 // itself as the owner, so an owner's records stay if they were complete, and
 // otherwise the entry's floor is above everything ever granted.
 func (m *Machine) enter(s *shard, e ShardEntry) {
-	if e.Generation <= s.entry.Generation {
+	if e.Generation == s.entry.Generation {
 		s.entry.Epoch = max(s.entry.Epoch, e.Epoch)
 		return
 	}
--- a/core/request/dfuclaim/store.go
+++ b/core/request/dfuclaim/store.go
@@ -39,6 +39,9 @@
 	table     Table
 	changes   []change
 	uncertain bool
+	// repeated means that an earlier attempt had an uncertain outcome, so that
+	// the rejection of a later one proves nothing.
+	repeated bool
 }
 
 // newStoreState returns the state before the first read.
@@ -134,16 +137,16 @@
 	if w == nil {
 		return
 	}
-	switch e.Status {
-	case WriteAccepted:
+	switch {
+	case e.Status == WriteAccepted:
 		st.pending = nil
 		st.spread, st.writeAt = st.cfg.WriteSpread, 0
 		m.adopt(e.Revision, w.table)
 		m.spreadTable()
-	case WriteRejected:
+	case e.Status == WriteRejected && !w.repeated:
 		st.pending = nil
 		st.putOff(m.now)
-	case WriteUncertain:
+	default:
 		w.uncertain = true
 		st.putOff(m.now)
 	}
@@ -157,7 +160,7 @@
 	st.planAt = m.now
 	w := st.pending
 	if w != nil && w.uncertain && e.Revision == w.expect {
-		w.uncertain = false
+		w.uncertain, w.repeated = false, true
 		m.do(WriteTable{Expect: w.expect, Table: w.table.clone()})
 		return
 	}
--- a/core/request/dfuclaim/world_test.go
+++ b/core/request/dfuclaim/world_test.go
@@ -39,6 +39,7 @@
 	table    dfuclaim.Table
 	revision dfuident.Revision
 	store    storeMode
+	late     []storeOp
 	writes   int
 
 	requests map[dfuident.RequestID]dfuident.Key
@@ -62,6 +63,9 @@
 	// storeLosing gives a write its effect but no reply. A node that has lost
 	// one in this mode of its own finds the store down afterwards.
 	storeLosing storeMode = "losing"
+	// storeLate holds a write back without a reply. It takes effect just
+	// before the next write, after which the node finds the store down.
+	storeLate storeMode = "late"
 )
 
 type packet struct {
@@ -315,6 +319,17 @@
 			w.step(n, e)
 		}
 	}
+	if op.write != nil && mode == storeLate {
+		if len(w.late) == 0 {
+			w.late = append(w.late, op)
+			w.say(n, "store holds the write")
+			reply(dfuclaim.WriteResult{Status: dfuclaim.WriteUncertain})
+			return
+		}
+		w.ops = slices.Insert(w.ops, 0, w.late[0])
+		w.ops[0].ghost, w.late, mode, n.store = true, nil, storeUp, storeDown
+		w.call(0, storeUp)
+	}
 	if op.write == nil {
 		if mode == storeDown {
 			reply(dfuclaim.ReadFailed{})
