core/request/dfuclaim: cut links and stores per node in the property test

The test had missed the double run of the session late_write. It now also cuts single directions of links and gives single nodes a store that is down, loses replies or applies writes late, also through the calm stretches.

--- a/core/request/dfuclaim/property_test.go
+++ b/core/request/dfuclaim/property_test.go
@@ -33,6 +33,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		c := &chaos{world: newWorld(rapid.IntRange(1, 2).Draw(t, "shards"))}
 		c.verbose = true
+		c.cfg.ReadInterval = 2 * dfuclock.Second
 		if rapid.Bool().Draw(t, "few records") {
 			c.cfg.Limits.Records = 4
 		}
@@ -65,7 +66,9 @@
 // repeatAll lets everything that was held up go on, and sends every key to
 // every node again.
 func (c *chaos) repeatAll() {
+	c.admit = nil
 	for _, n := range c.nodes {
+		n.store = ""
 		c.wake(n)
 	}
 	c.settle()
@@ -92,7 +95,7 @@
 // act does one random thing.
 func (c *chaos) act(t *rapid.T) {
 	n := rapid.SampledFrom(c.nodes).Draw(t, "node")
-	switch rapid.IntRange(0, 27).Draw(t, "act") {
+	switch rapid.IntRange(0, 31).Draw(t, "act") {
 	case 0, 1, 2:
 		if i := slices.IndexFunc(c.nodes, believesItHolds); i >= 0 && rapid.IntRange(0, 5).Draw(t, "any") > 0 {
 			n = rapid.SampledFrom(slices.DeleteFunc(slices.Clone(c.nodes), func(n *node) bool {
@@ -141,6 +144,24 @@
 		c.slow = true
 	case 27:
 		c.suspectHolder(t, n)
+	case 28, 29:
+		n.store = rapid.SampledFrom([]storeMode{"", storeDown, storeLosing, storeLate}).Draw(t, "store mode")
+	case 30, 31:
+		c.cutLink(t, n)
+	}
+}
+
+// cutLink loses all packets of one direction between two nodes, or, if the
+// choice is the same node, restores all links.
+func (c *chaos) cutLink(t *rapid.T, n *node) {
+	o := rapid.SampledFrom(c.nodes).Draw(t, "cut from")
+	if o == n {
+		c.admit = nil
+		return
+	}
+	earlier := c.admit
+	c.admit = func(p packet) bool {
+		return (p.from.Node != n.self.Node || p.to.Node != o.self.Node) && (earlier == nil || earlier(p))
 	}
 }
 
