--- a/core/connection/dfuchoice/health.go
+++ b/core/connection/dfuchoice/health.go
@@ -12,6 +12,10 @@
 	// costs more if all its attempts fail. A target that fails at once has few
 	// requests in flight and must not look fast for that.
 	failurePenalty = 8.0
+	// penaltyLifetime is how long after its last failure a target costs more.
+	// Past it, the target is tried again: without requests it could neither
+	// clear itself nor be ejected.
+	penaltyLifetime = 500 * dfuclock.Millisecond
 	// ejectionStart is the length of a target's first ejection.
 	ejectionStart = 2 * dfuclock.Second
 	// ejectionMax bounds the length of an ejection, which doubles each time.
@@ -40,7 +44,9 @@
 type health struct {
 	state healthState
 	// rate is a moving average of the share of failed attempts.
-	rate     float64
+	rate float64
+	// failedAt is when an attempt last failed.
+	failedAt dfuclock.Time
 	until    dfuclock.Time
 	ejection dfuclock.Duration
 	// trials counts the attempts in flight, and successes the answers in a row
@@ -58,6 +64,7 @@
 		t.succeeded(now)
 	case FeedbackTargetError, FeedbackLinkFailed:
 		h.rate += failureSmoothing * (1 - h.rate)
+		h.failedAt = now
 		t.failed(now)
 	case FeedbackRefused, FeedbackCanceled:
 	}
@@ -138,6 +145,6 @@
 }
 
 // penalty returns the factor by which failures raise a target's cost.
-func (h *health) penalty() float64 {
-	return 1 + failurePenalty*h.rate
+func (h *health) penalty(now dfuclock.Time) float64 {
+	return 1 + failurePenalty*h.rate*remaining(now, h.failedAt, penaltyLifetime)
 }
--- a/core/connection/dfuchoice/response.go
+++ b/core/connection/dfuchoice/response.go
@@ -139,5 +139,5 @@
 
 // cost returns the expected time in milliseconds until a target's answer.
 func (c *Chooser) cost(now dfuclock.Time, q Query, t *targetState) float64 {
-	return t.corrected(now)*t.health.penalty() + t.networkTime(q.From, c.settings.Delays)
+	return t.corrected(now)*t.health.penalty(now) + t.networkTime(q.From, c.settings.Delays)
 }
--- a/core/connection/dfuchoice/target.go
+++ b/core/connection/dfuchoice/target.go
@@ -19,6 +19,9 @@
 	smoothing = 0.1
 	// maxCorrection bounds how far observed latencies raise an expectation.
 	maxCorrection = 20.0
+	// correctionLifetime is how long after its last answer a target's observed
+	// latencies count.
+	correctionLifetime = 4 * dfuclock.Second
 	// occupancy is the part of a service time that full slots are worth, so
 	// that free targets are preferred before any queue builds up.
 	occupancy = 0.2
@@ -41,6 +44,8 @@
 	// response times at Sent and at Done; their ratio corrects a target whose
 	// loads promise more than it keeps.
 	expected, observed float64
+	// observedAt is when an answer last was observed.
+	observedAt dfuclock.Time
 	// usual is a slow moving average of the reported service time.
 	usual  float64
 	health health
@@ -64,7 +69,7 @@
 
 // noteSent counts an attempt and remembers what was expected of it.
 func (t *targetState) noteSent(now dfuclock.Time) {
-	t.expected = average(t.expected, t.response(now))
+	t.expected = average(t.expected, t.response(now), t.freshness(now))
 	t.own++
 	t.health.trials++
 }
@@ -81,7 +86,8 @@
 		t.signal.others = refusedOccupancy * t.slots()
 	}
 	if f.Kind == FeedbackAnswered {
-		t.observed = average(t.observed, max(0, float64(f.Latency)-network))
+		t.observed = average(t.observed, max(0, float64(f.Latency)-network), t.freshness(now))
+		t.observedAt = now
 	}
 	t.noteHealth(now, f.Kind)
 }
@@ -91,7 +97,7 @@
 	if t.signal.known && int16(uint16(load.Sequence)-uint16(t.signal.load.Sequence)) < 0 {
 		return
 	}
-	t.usual = average(t.usual, float64(load.ServiceTime))
+	t.usual = average(t.usual, float64(load.ServiceTime), smoothing)
 	total := float64(load.InFlight) + float64(load.Queued)
 	t.signal = signal{known: true, at: now, load: load, others: max(0, total-float64(t.own))}
 }
@@ -111,13 +117,15 @@
 	return wait + service*(1+occupancy*outstanding/slots)
 }
 
-// corrected returns the response time raised by what was observed.
+// corrected returns the response time raised by what was observed. The raise
+// fades, since a target that is avoided for it yields no new observations.
 func (t *targetState) corrected(now dfuclock.Time) float64 {
 	response := t.response(now)
 	if t.expected == 0 || t.observed == 0 {
 		return response
 	}
-	return response * min(max(t.observed/t.expected, 1), maxCorrection)
+	correction := min(max(t.observed/t.expected, 1), maxCorrection)
+	return response * (1 + (correction-1)*remaining(now, t.observedAt, correctionLifetime))
 }
 
 // slots returns the slots of the target.
@@ -169,7 +177,7 @@
 	if !s.known {
 		return 0
 	}
-	return max(0, 1-float64(now.Sub(s.at))/float64(signalLifetime))
+	return remaining(now, s.at, signalLifetime)
 }
 
 // networkTime returns the round trip in milliseconds from a place.
@@ -184,10 +192,22 @@
 	}
 }
 
-// average returns a moving average with a new observation.
-func average(old, observation float64) float64 {
+// remaining returns how far something that was learned at a time still counts:
+// from one at first to zero at the end of its lifetime.
+func remaining(now, at dfuclock.Time, lifetime dfuclock.Duration) float64 {
+	return min(max(1-float64(now.Sub(at))/float64(lifetime), 0), 1)
+}
+
+// freshness returns the weight of a new observation, which grows with the time
+// since the last one.
+func (t *targetState) freshness(now dfuclock.Time) float64 {
+	return max(smoothing, 1-remaining(now, t.observedAt, correctionLifetime))
+}
+
+// average returns a moving average with a new observation of a weight.
+func average(old, observation, weight float64) float64 {
 	if old == 0 {
 		return observation
 	}
-	return old + smoothing*(observation-old)
+	return old + weight*(observation-old)
 }
