--- a/core/version/dfurecord/exchange.go
+++ b/core/version/dfurecord/exchange.go
@@ -1,6 +1,7 @@
 package dfurecord
 
 import (
+	"math/bits"
 	"math/rand/v2"
 	"slices"
 
@@ -27,9 +28,12 @@
 	SettleAcross dfuclock.Duration
 	// ComparePeriod is the least time between two compares begun by the node.
 	ComparePeriod dfuclock.Duration
-	// QuietPeriod is the age of the copy from which the node reads the store
-	// itself.
+	// QuietPeriod and, for each doubling of the zone's size, QuietStep make
+	// the age of the copy from which the node reads the store itself. News
+	// that a copy is confirmed spreads by probes, so it takes longer in a
+	// larger zone.
 	QuietPeriod dfuclock.Duration
+	QuietStep   dfuclock.Duration
 	// ReadSpread times the zone's size is the time over which the nodes of a
 	// zone spread these reads.
 	ReadSpread dfuclock.Duration
@@ -46,7 +50,8 @@
 		SettlePeriod:  500 * dfuclock.Millisecond,
 		SettleAcross:  3 * dfuclock.Second,
 		ComparePeriod: dfuclock.Second,
-		QuietPeriod:   10 * dfuclock.Second,
+		QuietPeriod:   2 * dfuclock.Second,
+		QuietStep:     dfuclock.Second,
 		ReadSpread:    500 * dfuclock.Millisecond,
 	}
 }
@@ -201,11 +206,15 @@
 
 func (x *Exchange) quiet(now dfuclock.Time) bool {
 	at, ok := x.confirmedAt()
-	return !ok || now.Sub(at) > x.cfg.QuietPeriod
+	return !ok || now.Sub(at) > x.quietPeriod()
+}
+
+func (x *Exchange) quietPeriod() dfuclock.Duration {
+	return x.cfg.QuietPeriod + x.cfg.QuietStep*dfuclock.Duration(bits.Len(uint(x.peers.ZoneSize)))
 }
 
 func (x *Exchange) readSpread() dfuclock.Duration {
-	return x.cfg.QuietPeriod/2 + x.cfg.ReadSpread*dfuclock.Duration(x.peers.ZoneSize)
+	return x.quietPeriod()/2 + x.cfg.ReadSpread*dfuclock.Duration(x.peers.ZoneSize)
 }
 
 // takeAnswer merges what the store returned. An answer from a replica that is
@@ -354,7 +363,7 @@
 			x.note(r.Key)
 		}
 		if v == Unproven && !now.Before(x.doubtAt) {
-			x.doubtAt = now.Add(x.cfg.QuietPeriod)
+			x.doubtAt = now.Add(x.quietPeriod())
 			x.counts.Reads++
 			x.do(Read{})
 		}
--- a/core/version/dfurecord/set.go
+++ b/core/version/dfurecord/set.go
@@ -55,9 +55,9 @@
 }
 
 // MergeList merges the store's whole list of the keys under a prefix as of a
-// revision, and returns the records that changed the set. A key that is held
-// at or below that revision and isn't listed was deleted, so it becomes a
-// tombstone; a key held above it is newer than the list and stays.
+// revision, and returns the records that changed the set. A key that isn't
+// listed was deleted by then, so it gets a tombstone of that revision, which
+// counts only if what is in force is older.
 func (s *Set) MergeList(prefix string, listed []Record, revision dfuident.Revision) []Record {
 	present := make(map[string]bool, len(listed))
 	var changed []Record
@@ -69,7 +69,7 @@
 	}
 	for _, key := range s.keys(prefix) {
 		h, ok := s.held[key]
-		if !ok || present[key] || h.noted.Deleted || h.noted.Revision > revision {
+		if !ok || present[key] || h.noted.Deleted {
 			continue
 		}
 		tombstone := Record{Key: key, Revision: revision, Deleted: true}
@@ -153,17 +153,17 @@
 func (s *Set) decide(r Record, asOf dfuident.Revision) Verdict {
 	h, ok := s.held[r.Key]
 	if !ok {
-		if v, refused := s.refuseNew(r, asOf); refused {
-			return v
-		}
 		h = &held{floor: s.floor}
 	}
-	if dfuident.Bytes(len(r.Value)) > s.limits.ValueBytes {
+	full := !ok && !r.Deleted && s.live >= s.limits.Keys
+	if full || r.Revision == 0 || dfuident.Bytes(len(r.Value)) > s.limits.ValueBytes {
 		return Full
 	}
 	if r.Revision < h.inForce.Revision {
 		return Stale
 	}
+	// The key may have been deleted since. Only the store's word from after
+	// the floor tells.
 	if h.inForce.Revision == 0 && r.Revision <= h.floor && asOf < h.floor {
 		return Unproven
 	}
@@ -180,18 +180,6 @@
 	return v
 }
 
-// refuseNew decides whether a key that isn't held may be added. One that may
-// have been deleted since needs the word of the store from after the floor.
-func (s *Set) refuseNew(r Record, asOf dfuident.Revision) (Verdict, bool) {
-	if r.Revision <= s.floor && asOf < s.floor {
-		return Unproven, true
-	}
-	if r.Revision == 0 || (!r.Deleted && s.live >= s.limits.Keys) {
-		return Full, true
-	}
-	return Taken, false
-}
-
 // take moves the key to a revision above the one in force.
 func (h *held) take(r Record, check Check) Verdict {
 	if !r.Deleted {
--- a/measure/dfufleet/script.go
+++ b/measure/dfufleet/script.go
@@ -88,12 +88,13 @@
 	"heal": {2, func(s *script, args []string) error { s.setCut(args, false); return nil }},
 	// path NODE NODE cut|heal: the path between two nodes.
 	"path": {3, (*script).setPath},
-	// store down|up|split, or region REGION.
+	// store down|up|split|lag, or region REGION, or silent NODE.
 	"store":  {1, (*script).setStore},
 	"put":    {2, func(s *script, args []string) error { return s.put(args[0], strings.Join(args[1:], " ")) }},
 	"delete": {1, func(s *script, args []string) error { s.printf("revision %d", s.fleet.Delete(args[0])); return nil }},
-	// old NODE UPDATE: a late message of an earlier run arrives at a node.
-	"old": {2, (*script).sendOld},
+	// tell NODE ABOUT suspect|dead|earlier: a message says that another member
+	// is suspect or dead, or comes late from an earlier run of it.
+	"tell": {3, (*script).tell},
 	// run DURATION: let time pass.
 	"run": {1, (*script).runFor},
 }
@@ -127,6 +128,10 @@
 		s.fleet.SetStoreDown(args[0] == "down")
 	case "split":
 		s.fleet.SplitReplica()
+	case "lag":
+		s.fleet.SetLagging(true)
+	case "silent":
+		s.fleet.SetWatchSilent(dfuident.NodeID(args[1]), true)
 	case "region":
 		s.fleet.SetStoreRegion(dfuident.Region(args[1]))
 	default:
@@ -144,15 +149,23 @@
 	return nil
 }
 
-// sendOld makes a node receive an update of an earlier run of another.
-func (s *script) sendOld(args []string) error {
+func (s *script) tell(args []string) error {
 	to, about := s.fleet.Node(dfuident.NodeID(args[0])), s.fleet.Node(dfuident.NodeID(args[1]))
 	if to == nil || about == nil {
 		return errors.Newf("no node %s or %s", args[0], args[1])
 	}
 	u := about.Keeper.Membership().Self()
-	u.Member.Incarnation--
-	u.Version += 100
+	switch args[2] {
+	case "suspect":
+		u.State, u.Details = dfumembership.Suspect, nil
+	case "dead":
+		u.State, u.Details = dfumembership.Dead, nil
+	case "earlier":
+		u.Member.Incarnation--
+		u.Version += 100
+	default:
+		return errors.Newf("tell %s", args[2])
+	}
 	from := dfumembership.Contact{Member: u.Member, Region: about.Place.Region, Address: about.address}
 	s.fleet.step(to, dfuroster.Received{Packet: dfuroster.Packet{
 		Membership: &dfumembership.Message{Kind: dfumembership.Gossip, From: from, Updates: []dfumembership.Update{u}},
--- a/measure/dfufleet/store.go
+++ b/measure/dfufleet/store.go
@@ -24,6 +24,8 @@
 	calls int
 	// replica, if not nil, answers lists in place of the store.
 	replica *store
+	// lagging makes the replica answer watches as well.
+	lagging bool
 }
 
 // watchState is what a node has seen of the store.
@@ -32,6 +34,8 @@
 	after    dfuident.Revision
 	// answeredAt is when a watch last came back.
 	answeredAt dfuclock.Time
+	// silent says that its watches go unanswered.
+	silent bool
 }
 
 func newStore() store {
@@ -68,6 +72,7 @@
 func (f *Fleet) SplitReplica() {
 	if f.store.replica != nil {
 		f.store.replica = nil
+		f.store.lagging = false
 		return
 	}
 	replica := newStore()
@@ -78,6 +83,16 @@
 	f.store.replica = &replica
 }
 
+// SetLagging makes the split replica answer watches too, or ends that.
+func (f *Fleet) SetLagging(lagging bool) {
+	f.store.lagging = lagging && f.store.replica != nil
+}
+
+// SetWatchSilent makes a node's watches go unanswered, or ends that.
+func (f *Fleet) SetWatchSilent(id dfuident.NodeID, silent bool) {
+	f.byID[id].watch.silent = silent
+}
+
 func (s *store) write(r dfurecord.Record) dfuident.Revision {
 	s.revision++
 	r.Revision = s.revision
@@ -122,17 +137,21 @@
 		f.list(n)
 		return
 	}
-	changed := f.store.revision > w.after
-	if !changed && f.now.Sub(w.answeredAt) < watchWait {
+	from := &f.store
+	if from.lagging {
+		from = from.replica
+	}
+	changed := from.revision > w.after
+	if w.silent || !changed && f.now.Sub(w.answeredAt) < watchWait {
 		return
 	}
 	for _, prefix := range prefixes() {
 		f.store.calls++
 		f.answer(n, dfurecord.StoreAnswered{
-			Prefix: prefix, Records: f.store.since(prefix, w.after), Revision: f.store.revision,
+			Prefix: prefix, Records: from.since(prefix, w.after), Revision: from.revision,
 		})
 	}
-	w.after = f.store.revision
+	w.after = max(w.after, from.revision)
 	w.answeredAt = f.now
 }
 
