--- a/core/request/dfuclaim/property_test.go
+++ b/core/request/dfuclaim/property_test.go
@@ -273,7 +273,7 @@
 	n.frozen = true
 }
 
-// end replaces, kills, announces or stops a node.
+// end kills, replaces, announces, drains or stops a node.
 func (c *chaos) end(t *rapid.T, n *node) {
 	switch rapid.IntRange(0, 3).Draw(t, "end") {
 	case 0:
@@ -282,7 +282,7 @@
 		c.replace(n, rapid.Bool().Draw(t, "announced"))
 	case 2:
 		if !n.ended {
-			c.announce(n, dfuclaim.NodeAlive)
+			c.announce(n, rapid.SampledFrom([]dfuclaim.NodeState{dfuclaim.NodeAlive, dfuclaim.NodeLeaving}).Draw(t, "drains"))
 		}
 	case 3:
 		if !n.ended && !n.frozen {
--- a/io/request/dfuclaimer/duty.go
+++ b/io/request/dfuclaimer/duty.go
@@ -89,6 +89,8 @@
 	counts counters
 }
 
+var _ dfuadmission.Claims = (*Duty)(nil)
+
 // input is an event for the goroutine that owns the machine. A claim's verdict
 // goes to decide.
 type input struct {
