io/process/dfunode: guard non-idempotent requests by replicated claims

Cause: claims lived in the memory of one run. With the claim duty wired, every order of a service's first 35 s was unknown (key_too_old): a service's first table got the floor of a lost one. Zones that started together found each other only with the bridge's next check of the pages, up to 45 s later. Ruled out: a shorter page period, which costs reads for good. Change: the claim duty in place of the memory; TableSeen says whether there was a table once, and only then the floor lies above the present; the checks of the pages begin 400 ms apart and double up to the period; a stopping node hands its claims over before it leaves.

--- a/core/request/dfuclaim/event.go
+++ b/core/request/dfuclaim/event.go
@@ -51,6 +51,9 @@
 	// Revision is the revision of the table's key, zero if there is no table.
 	Revision dfuident.Revision
 	Table    Table
+	// Deleted tells that there was a table once, so that keys may have run
+	// under it. Of a service that never had one, no key has run.
+	Deleted bool
 }
 
 // ReadFailed reports that ReadTable got no answer from the store.
--- a/core/request/dfuclaim/ownership.go
+++ b/core/request/dfuclaim/ownership.go
@@ -102,17 +102,21 @@
 	return next, changes
 }
 
-// planTable returns the service's first table if this node is to create it.
-// Its floor is above every key of an earlier table that may have been lost.
+// planTable returns the service's table if this node is to create it. If there
+// was one before, the floor is above every key that may have run under it.
 func (m *Machine) planTable(wall UnixMs) (Table, []change) {
 	if m.leaving || m.roster.first(m.service, 0) != m.self {
 		return Table{}, nil
 	}
 	t := Table{Shards: make([]ShardEntry, m.cfg.Shards)}
+	var floor UnixMs
+	if m.store.deleted {
+		floor = m.horizon(wall)
+	}
 	for i, owner := range m.roster.owners(m.service, m.cfg.Shards) {
 		t.Shards[i] = ShardEntry{
 			Owner: owner, Copy: m.roster.copyFor(m.service, ShardIndex(i), owner),
-			Generation: 1, Floor: m.horizon(wall), Epoch: m.epoch,
+			Generation: 1, Floor: floor, Epoch: m.epoch,
 		}
 	}
 	return t, []change{{0, TransitionCreates}}
--- a/core/request/dfuclaim/store.go
+++ b/core/request/dfuclaim/store.go
@@ -16,6 +16,8 @@
 	cfg     Config
 	known   bool
 	reading bool
+	// deleted means that the table read was deleted.
+	deleted bool
 	// fresh means that the table was read since the wish to write it arose, so
 	// the store is there and the table probably current.
 	fresh   bool
@@ -157,6 +159,7 @@
 func (m *Machine) onTableSeen(e TableSeen) {
 	st := &m.store
 	st.reading, st.known, st.fresh = false, true, true
+	st.deleted = e.Deleted
 	st.planAt = m.now
 	w := st.pending
 	if w != nil && w.uncertain && e.Revision == w.expect {
--- a/io/process/dfucontrol/page.go
+++ b/io/process/dfucontrol/page.go
@@ -23,6 +23,9 @@
 	pageSpread = 10 * dfuclock.Millisecond
 	// maxPageSpread bounds that time.
 	maxPageSpread = 2 * dfuclock.Second
+	// firstPagePeriod is the time between the first two checks of the pages;
+	// it doubles up to the configured period.
+	firstPagePeriod = 400 * dfuclock.Millisecond
 	// foreignPerZone is how many members of each other zone a page lists.
 	foreignPerZone = 2
 )
@@ -146,12 +149,10 @@
 		return err
 	}
 	d.deps.Log.Info("on the zone page", zap.Stringer("member", d.Member()))
-	// Of two nodes that start together, the later writer sees the other.
-	if d.bridge.Load() {
-		d.readSeeds(ctx)
-	}
-	for {
-		if err := sleep(ctx, d.cfg.PagePeriod/2+d.jitter(d.cfg.PagePeriod)); err != nil {
+	// Zones that start together read each other's pages too early. Which node
+	// is the bridge settles only once the zone's nodes know each other.
+	for period := firstPagePeriod; ; period = min(2*period, d.cfg.PagePeriod) {
+		if err := sleep(ctx, period/2+d.jitter(period)); err != nil {
 			return err
 		}
 		if d.bridge.Load() && d.readSeeds(ctx) {
--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -16,6 +16,7 @@
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/process/dfumembership"
 	"dragonflyusher/core/request/dfuattempt"
+	"dragonflyusher/core/request/dfuclaim"
 	"dragonflyusher/core/request/dfugate"
 	"dragonflyusher/core/request/dfuoutcome"
 	"dragonflyusher/core/version/dfuroster"
@@ -25,6 +26,7 @@
 	"dragonflyusher/io/process/dfusettings"
 	"dragonflyusher/io/process/dfustore"
 	"dragonflyusher/io/request/dfuadmission"
+	"dragonflyusher/io/request/dfuclaimer"
 	"dragonflyusher/io/request/dfudispatch"
 	"dragonflyusher/io/request/dfutrace"
 
@@ -39,6 +41,8 @@
 	// drainPoll is how often a stopping node looks whether its target is
 	// drained.
 	drainPoll = 20 * time.Millisecond
+	// handOverWait bounds the handing over of claims by a stopping node.
+	handOverWait = 2 * time.Second
 	// leaveWait is how long a stopping node stays to tell others that it left.
 	leaveWait = 300 * time.Millisecond
 )
@@ -67,6 +71,7 @@
 	gate   *dfuadmission.Duty
 	entry  *dfudispatch.Duty
 	target *localTarget
+	claims *dfuclaimer.Duty
 }
 
 // New opens the node's listeners and prepares its duties.
@@ -208,10 +213,15 @@
 		}
 	}
 	s := n.assemble(n.control.Member())
-	if err := n.server.Register("Gate", &receiver{duty: s.gate, view: n.control.View}); err != nil {
-		n.log.Error("register gate", zap.Error(err))
+	err := errors.CombineErrors(
+		n.server.Register("Gate", &receiver{duty: s.gate, view: n.control.View}),
+		n.server.Register(dfuclaimer.ReceiverName, s.claims.Receiver()),
+	)
+	if err != nil {
+		n.log.Error("register receivers", zap.Error(err))
 		return nil
 	}
+	wg.Go(func() { s.claims.Run(life) })
 	wg.Go(n.server.Run)
 	wg.Go(func() { s.target.run(life.Done()) })
 	n.started.Store(s)
@@ -221,7 +231,7 @@
 
 // assemble makes the duties of a node with a known incarnation.
 func (n *Node) assemble(self dfuident.Member) *started {
-	claims := newMemoryClaims()
+	claims := n.newClaims(self)
 	gate := dfuadmission.New(dfuadmission.Deps{
 		Self:    self,
 		Clock:   n.clock,
@@ -251,7 +261,21 @@
 		limit:   n.settings.Limits.Answer,
 		publish: n.announce,
 	}
-	return &started{self: self, gate: gate, entry: entry, target: target}
+	return &started{self: self, gate: gate, entry: entry, target: target, claims: claims}
+}
+
+func (n *Node) newClaims(self dfuident.Member) *dfuclaimer.Duty {
+	return dfuclaimer.New(dfuclaimer.Deps{
+		Self:    self,
+		Config:  dfuclaim.DefaultConfig(),
+		Clock:   n.clock,
+		Wall:    func() dfuclaim.UnixMs { return dfuclaim.UnixMs(time.Now().UnixMilli()) },
+		Log:     n.log,
+		Metrics: n.metrics,
+		Caller:  controlCaller{n.pool},
+		Store:   n.store,
+		Rand:    newRand(),
+	})
 }
 
 // announce tells the other nodes about the local target.
@@ -270,6 +294,7 @@
 	if s == nil {
 		return
 	}
+	s.claims.SetView(view)
 	s.entry.SetView(view)
 	s.target.setView(view)
 }
@@ -285,6 +310,12 @@
 	for time.Now().Before(deadline) && !s.gate.Status().Drained {
 		time.Sleep(drainPoll)
 	}
+	s.claims.Leave()
+	select {
+	case <-s.claims.Left():
+	case <-time.After(handOverWait):
+		n.log.Warn("claims were not handed over in time")
+	}
 	n.control.Announce(dfucontrol.Announcement{Left: true})
 	time.Sleep(leaveWait)
 	n.log.Info("left", zap.Stringer("member", s.self))
--- a/io/request/dfuclaimer/calls.go
+++ b/io/request/dfuclaimer/calls.go
@@ -51,7 +51,7 @@
 	case err != nil:
 		return dfuclaim.ReadFailed{}
 	case !record.Exists():
-		return dfuclaim.TableSeen{}
+		return dfuclaim.TableSeen{Deleted: record.Deleted}
 	}
 	table, err := dfuclaim.Decode(record.Value)
 	if err != nil {
