--- a/core/request/dfuclaim/golden_test.go
+++ b/core/request/dfuclaim/golden_test.go
@@ -79,6 +79,8 @@
 	switch name {
 	case "node": // id region zone
 		s.add(dfuident.NodeID(args[0]), dfuident.Place{Region: dfuident.Region(args[1]), Zone: dfuident.Zone(args[2])})
+	case "deleted":
+		s.deleted = true
 	case "limit": // records
 		s.cfg.Limits.Records = number(args[0])
 	case "window": // ms
--- a/core/request/dfuclaim/handover.go
+++ b/core/request/dfuclaim/handover.go
@@ -19,26 +19,23 @@
 	if m.now < s.handoverAt {
 		return
 	}
-	msg, to := m.handoverMessage(s)
-	if msg == nil || !m.roster.serves(to) {
-		return
-	}
 	s.handoverAt = m.now.Add(m.cfg.HandoverRetry)
-	m.send(to, msg)
+	switch {
+	case s.role == roleOwner && m.roster.serves(s.entry.Copy):
+		m.handOverToCopy(s)
+	case s.role == roleCopy && s.silent && !s.silentAcked && m.roster.serves(s.entry.Owner):
+		m.send(s.entry.Owner, LeaveCopy{Term: s.term()})
+	}
 }
 
-// handoverMessage returns what is still to be acknowledged by the other holder
-// and that holder, or nil.
-func (m *Machine) handoverMessage(s *shard) (Message, dfuident.Member) {
+// handOverToCopy sends the records that the copy holder has not acknowledged.
+func (m *Machine) handOverToCopy(s *shard) {
 	switch {
-	case s.role == roleOwner && s.silent && !s.silentAcked:
-		return Relinquish{Snapshot: m.snapshot(s)}, s.entry.Copy
-	case s.role == roleOwner && !s.silent && !s.alone && !s.copyReady:
-		return m.snapshot(s), s.entry.Copy
-	case s.role == roleCopy && s.silent && !s.silentAcked:
-		return LeaveCopy{Term: s.term()}, s.entry.Owner
+	case s.silent && !s.silentAcked:
+		m.send(s.entry.Copy, Relinquish{Snapshot: m.snapshot(s)})
+	case !s.silent && !s.alone && !s.copyReady:
+		m.send(s.entry.Copy, m.snapshot(s))
 	}
-	return nil, dfuident.Member{}
 }
 
 // mayRelinquish reports whether the owner should cease granting in favor of
--- a/core/request/dfuclaim/world_test.go
+++ b/core/request/dfuclaim/world_test.go
@@ -40,7 +40,9 @@
 	revision dfuident.Revision
 	store    storeMode
 	late     []storeOp
-	writes   int
+	// deleted means that there was a table before the world began.
+	deleted bool
+	writes  int
 
 	requests map[dfuident.RequestID]dfuident.Key
 	notRun   map[dfuident.RequestID]bool
@@ -335,7 +337,7 @@
 			reply(dfuclaim.ReadFailed{})
 			return
 		}
-		reply(dfuclaim.TableSeen{Revision: w.revision, Table: w.table})
+		reply(dfuclaim.TableSeen{Revision: w.revision, Table: w.table, Deleted: w.deleted && w.revision == 0})
 		return
 	}
 	result := dfuclaim.WriteResult{Status: dfuclaim.WriteRejected}
