--- a/core/process/dfubudget/measuring.go
+++ b/core/process/dfubudget/measuring.go
@@ -15,15 +15,19 @@
 	windowParts = 10
 )
 
-// The times that keep the shares of all nodes within the whole.
+// The times that keep the parts of all nodes within the whole.
 const (
 	// ViewLifetime is how long a view of the roster counts as fresh.
 	ViewLifetime = 10 * dfuclock.Second
-	// JoinWait is how long a new node's page stands in the store before it
-	// takes a share. By then no older view without it is fresh.
+	// JoinWait is how long a node's page has to stand in the store, and its
+	// views to be fresh, before it takes a part of what the fresh views share.
 	JoinWait = 2 * ViewLifetime
 )
 
+// reserveParts is the inverse of the part of the budget that is kept for nodes
+// without a fresh view.
+const reserveParts = 4
+
 // Cause says what a measuring message is for.
 type Cause uint8
 
@@ -64,7 +68,8 @@
 	// Nodes is the number of pages in the store for this region, including
 	// those of nodes that are not heard of.
 	Nodes int
-	// Joined is when this node first saw its own page in the store.
+	// Joined is when this node first saw its own page in the store, after it
+	// last wrote it.
 	Joined dfuclock.Time
 	// Member says that this node's own page is in the view.
 	Member bool
@@ -93,19 +98,31 @@
 //
 // The parts of all nodes never exceed the whole, however their views differ.
 // Each region owns a fixed fraction, so regions that lose each other double
-// nothing. Within a region a node takes one part in n, where n depends on its
-// view. With a fresh view n is the number of nodes in it. A new node waits for
-// JoinWait after its page is in the store, so every node that spends is in
-// each fresh view, and no n is below the number of nodes that spend. Without a
-// fresh view n is the planned number of nodes, which is no smaller either.
+// nothing. Within a region, nodes without a settled view share a reserve by
+// the planned number of nodes, which bounds their number.
+//
+// Nodes with a settled view share the rest by the greatest number of nodes
+// that they saw within JoinWait. That is never below the number of nodes that
+// spend so: each of those has a view no older than ViewLifetime and had its
+// page for JoinWait before that, so a view from between the two has them all,
+// and every settled node has such a view.
 type Measuring struct {
 	budget             Budget
 	view               View
+	settled            dfuclock.Time
+	seen               peak
 	bytes, calls, link *TokenBucket
 	divisor            int
 	usage              [causes]Usage
 }
 
+// peak is the greatest number of nodes seen in this period of JoinWait and in
+// the one before.
+type peak struct {
+	start             dfuclock.Time
+	current, previous int
+}
+
 // NewMeasuring returns a part of nothing: a budget and a view have to be set.
 func NewMeasuring(now dfuclock.Time) *Measuring {
 	return &Measuring{
@@ -127,10 +144,22 @@
 	if view.Confirmed.Before(m.view.Confirmed) {
 		return
 	}
+	if view.Confirmed.Sub(m.view.Confirmed) > ViewLifetime {
+		m.settled = view.Confirmed.Add(JoinWait)
+	}
 	m.view = view
+	m.seen.add(view)
 	m.apportion(now)
 }
 
+// add notes the number of nodes of a view.
+func (p *peak) add(view View) {
+	if view.Confirmed.Sub(p.start) >= JoinWait {
+		*p = peak{start: view.Confirmed, previous: p.current}
+	}
+	p.current = max(p.current, view.Nodes)
+}
+
 // Take charges a message, and reports whether it may be sent. It charges all
 // of the message's costs or none.
 func (m *Measuring) Take(now dfuclock.Time, s Spend) bool {
@@ -157,8 +186,8 @@
 	return m.usage[min(cause, causes-1)]
 }
 
-// Divisor returns the number of parts that this node takes one of, or zero if
-// it has no part.
+// Divisor returns the number of parts that this node takes one of, or zero
+// while no budget is set.
 func (m *Measuring) Divisor(now dfuclock.Time) int {
 	m.apportion(now)
 	return m.divisor
@@ -176,20 +205,21 @@
 	setShare(now, m.link, m.budget.LinkBytesPerSecond, divisor)
 }
 
-// parts returns the divisor of the whole budget, zero for no part.
+// parts returns the divisor of the whole budget.
 func (m *Measuring) parts(now dfuclock.Time) int {
 	regions := max(m.budget.Regions, 1)
-	fresh := now.Sub(m.view.Confirmed) <= ViewLifetime
-	switch {
-	case m.view.Joined == 0 || now.Sub(m.view.Joined) < JoinWait:
-		return 0
-	case !fresh:
-		return regions * max(m.budget.PlannedNodes, 0)
-	case !m.view.Member:
-		return 0
-	default:
-		return regions * m.view.Nodes
+	if !m.isSettled(now) {
+		return regions * max(m.budget.PlannedNodes, 0) * reserveParts
 	}
+	const rest = reserveParts - 1
+	nodes := max(m.seen.current, m.seen.previous)
+	return (regions*nodes*reserveParts + rest - 1) / rest
+}
+
+// isSettled reports whether this node and its views have stood long enough.
+func (m *Measuring) isSettled(now dfuclock.Time) bool {
+	return m.view.Member && m.view.Joined != 0 && now.Sub(m.view.Joined) >= JoinWait &&
+		now.Sub(m.view.Confirmed) <= ViewLifetime && !now.Before(m.settled)
 }
 
 // setShare gives a bucket one part of a fleet's rate, split into burst and
--- a/measure/policy/simulation.go
+++ b/measure/policy/simulation.go
@@ -6,6 +6,7 @@
 
 	"dragonflyusher/core/connection/dfuchoice"
 	"dragonflyusher/core/process/dfubudget"
+	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
 )
 
@@ -57,10 +58,10 @@
 		w := &worker{
 			sim: s, slots: d.Slots, speed: 1, service: float64(firstServiceTime),
 			member: dfuident.Member{Node: dfuident.NodeID(fmt.Sprintf("n%02d", i)), Incarnation: 1},
-			place:  d.Zones[i%len(d.Zones)], budget: dfubudget.NewMeasuring(origin),
+			place:  d.Zones[i%len(d.Zones)], budget: dfubudget.NewMeasuring(1),
 		}
-		w.budget.SetBudget(origin, budget)
-		w.budget.SetView(origin, dfubudget.View{Confirmed: origin, Nodes: d.Workers, Joined: 1, Member: true})
+		w.budget.SetBudget(1, budget)
+		s.view(w)
 		s.workers = append(s.workers, w)
 		s.byNode[w.member.Node] = w
 	}
@@ -77,6 +78,18 @@
 	s.announce()
 }
 
+// view keeps a worker's view of the fleet fresh, from long before the run.
+func (s *simulation) view(w *worker) {
+	const interval = dfubudget.ViewLifetime / 2
+	show := func(at dfuclock.Time) {
+		w.budget.SetView(at, dfubudget.View{Confirmed: at, Nodes: s.deployment.Workers, Joined: 1, Member: true})
+	}
+	for before := 2 * dfubudget.JoinWait; before >= 0; before -= interval {
+		show(origin.Add(-before))
+	}
+	s.clock.after(instant(interval)*millisecond, func() { show(s.clock.now.time()) })
+}
+
 // reportCost returns the bytes per second of full reports.
 func (s *simulation) reportCost() float64 {
 	pairs := float64(s.deployment.Workers * s.deployment.Entries)
