--- a/core/process/dfubudget/session_test.go
+++ b/core/process/dfubudget/session_test.go
@@ -60,7 +60,7 @@
 			})
 		case "view":
 			joined := dfuclock.Time(number(words[3]))
-			measuring.SetView(now, dfubudget.View{Confirmed: now, Nodes: number(words[2]), Joined: joined, Member: joined > 0})
+			measuring.SetView(now, dfubudget.View{Confirmed: now, Nodes: number(words[2]), Joined: joined, Member: joined > 0 && len(words) == 4})
 			fmt.Fprintf(&out, ": one part in %d", measuring.Divisor(now))
 		case "wait":
 			fmt.Fprintf(&out, ": one part in %d", measuring.Divisor(now))
