--- a/core/request/dfuclaim/claim.go
+++ b/core/request/dfuclaim/claim.go
@@ -1,9 +1,6 @@
 package dfuclaim
 
 import (
-	"cmp"
-	"slices"
-
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/request/dfuoutcome"
@@ -128,6 +125,7 @@
 }
 
 // onRefuse denies the claim that the copy holder didn't record. An earlier Ask
+
 // of the same claim may have been recorded, so it is withdrawn.
 func (m *Machine) onRefuse(from dfuident.Member, r Refuse) {
 	if _, c := m.asked(from, r.Term, r.Key, r.Sequence); c != nil {
@@ -137,6 +135,7 @@
 }
 
 // asked returns the claim that a copy holder's answer is about, or nil if the
+
 // answer doesn't apply to the present generation and claim.
 func (m *Machine) asked(from dfuident.Member, t Term, key dfuident.Key, q Sequence) (*shard, *claim) {
 	s := m.shardAt(t.Shard)
@@ -163,6 +162,7 @@
 }
 
 // withdraw removes the record of a claim that was not granted, or was given up
+
 // before it ran, and tells the other holders. The key may be claimed again.
 func (m *Machine) withdraw(s *shard, c *claim) {
 	if r := s.records.get(c.key); r != nil && r.Request == c.request {
@@ -174,6 +174,7 @@
 }
 
 // onWithdraw removes the record of another node's claim, on the word of that
+
 // node or of the shard's owner.
 func (m *Machine) onWithdraw(from dfuident.Member, w Withdraw) {
 	s := m.shardAt(w.Shard)
@@ -191,98 +192,7 @@
 	}
 }
 
-// onFinished records how a granted request ended and answers its repeats.
-func (m *Machine) onFinished(e Finished) {
-	c := m.claims[e.Request]
-	if c == nil || c.state != claimRunning {
-		return
-	}
-	m.untrack(c)
-	r := Record{
-		Key: c.key, Birth: c.birth, State: RecordLost,
-		Request: c.request, Runner: m.self, Sequence: c.sequence,
-	}
-	if e.Ran {
-		r.State, r.Kept, r.Status, r.Answer = RecordRan, true, e.Status, e.Answer
-	}
-	m.settleWaiting(&r)
-	m.recordFinish(m.shards[c.shard], r)
-}
-
-// onFinishes records how other nodes' requests ended.
-func (m *Machine) onFinishes(from dfuident.Member, f Finishes) {
-	s := m.shardAt(f.Shard)
-	if s == nil {
-		return
-	}
-	for _, r := range f.Records {
-		old := s.records.get(r.Key)
-		if old == nil || old.Request != r.Request || old.over() || !r.over() {
-			continue
-		}
-		m.settleWaiting(&r)
-		if from == s.entry.Owner {
-			s.records.put(r)
-			continue
-		}
-		m.recordFinish(s, r)
-	}
-}
-
-// recordFinish updates the key's record and queues it for the other holders.
-func (m *Machine) recordFinish(s *shard, r Record) {
-	if old := s.records.get(r.Key); old != nil && old.Request == r.Request {
-		s.records.put(r)
-	}
-	if dfuident.Bytes(len(r.Answer)) > m.cfg.Limits.AnswerBytes {
-		r.Kept, r.Status, r.Answer = false, 0, nil
-	}
-	if len(s.finishes) < m.cfg.Limits.Records {
-		s.finishes = append(s.finishes, r)
-	}
-}
-
 // sendFinishes sends the queued finishes to the other holders, once a new copy
-// holder is able to place them.
-func (m *Machine) sendFinishes(s *shard) {
-	if len(s.finishes) == 0 || s.grants() && !s.alone && !s.copyReady {
-		return
-	}
-	f := Finishes{Shard: s.index, Records: s.finishes}
-	s.finishes = nil
-	m.send(s.entry.Owner, f)
-	m.send(s.entry.Copy, f)
-}
-
-// onReleased forgets a request that was not handed over.
-func (m *Machine) onReleased(e Released) {
-	c := m.claims[e.Request]
-	if c == nil {
-		return
-	}
-	m.untrack(c)
-	if c.state == claimWaiting {
-		m.stopWaiting(c)
-		return
-	}
-	m.withdraw(m.shards[c.shard], c)
-	m.restartWaiting(c.key)
-}
-
-// settle answers a claim from the record of an earlier request that is over.
-func (m *Machine) settle(c *claim, r *Record) {
-	switch {
-	case r.State == RecordRan && r.Kept:
-		m.untrack(c)
-		m.do(Replay{Request: c.request, Status: r.Status, Answer: r.Answer})
-	case r.State == RecordRan:
-		m.deny(c, dfuoutcome.Unknown, dfuoutcome.ReasonAlreadyRun)
-	case r.Runner == m.self:
-		m.deny(c, dfuoutcome.Unknown, dfuoutcome.ReasonTargetDied)
-	default:
-		m.deny(c, dfuoutcome.Unknown, dfuoutcome.ReasonOwnerLost)
-	}
-}
 
 // deny refuses a claim.
 func (m *Machine) deny(c *claim, outcome dfuoutcome.Outcome, reason dfuoutcome.Reason) {
@@ -304,115 +214,10 @@
 	delete(m.claims, c.request)
 }
 
-// settleWaiting answers the claims that waited for a request that is now over.
-func (m *Machine) settleWaiting(r *Record) {
-	waiting := m.waiting[r.Key]
-	delete(m.waiting, r.Key)
-	for _, c := range waiting {
-		m.settle(c, r)
-	}
-}
-
 // restartWaiting decides anew on the claims that waited for a request that
-// never ran. The first one of them takes its place.
-func (m *Machine) restartWaiting(key dfuident.Key) {
-	waiting := m.waiting[key]
-	delete(m.waiting, key)
-	for _, c := range waiting {
-		m.decide(c)
-	}
-}
-
-// stopWaiting takes a claim out of the list of those waiting for its key.
-func (m *Machine) stopWaiting(c *claim) {
-	rest := slices.DeleteFunc(m.waiting[c.key], func(w *claim) bool { return w == c })
-	if len(rest) == 0 {
-		delete(m.waiting, c.key)
-		return
-	}
-	m.waiting[c.key] = rest
-}
-
-// sweepClaims asks again for claims without an answer and settles those that
-// can't wait any longer.
-func (m *Machine) sweepClaims() {
-	for _, c := range m.unsettled() {
-		if m.claims[c.request] != c {
-			continue
-		}
-		switch c.state {
-		case claimAsked:
-			m.sweepAsked(c)
-		case claimWaiting:
-			m.sweepWaiting(c)
-		case claimRunning:
-		}
-	}
-}
 
 // unsettled returns the claims that were neither granted nor denied yet, in
-// the order of their arrival.
-func (m *Machine) unsettled() []*claim {
-	var out []*claim
-	for _, c := range m.claims {
-		if c.state != claimRunning {
-			out = append(out, c)
-		}
-	}
-	slices.SortFunc(out, func(a, b *claim) int { return cmp.Compare(a.arrival, b.arrival) })
-	return out
-}
-
-// sweepAsked denies an asked claim past its deadline or asks again.
-func (m *Machine) sweepAsked(c *claim) {
-	s := m.shards[c.shard]
-	r := s.records.get(c.key)
-	switch {
-	case r == nil || r.Sequence != c.sequence:
-		m.giveUp(c, dfuoutcome.ReasonNoCopy)
-	case m.now >= c.deadline:
-		m.giveUp(c, dfuoutcome.ReasonNoCopy)
-	case m.now >= c.retryAt:
-		m.pursue(s, c)
-	}
-}
-
-// giveUp withdraws and denies an asked claim.
-func (m *Machine) giveUp(c *claim, reason dfuoutcome.Reason) {
-	m.withdraw(m.shards[c.shard], c)
-	m.deny(c, dfuoutcome.NotRun, reason)
-	m.restartWaiting(c.key)
-}
 
 // sweepWaiting denies a waiting claim past its deadline, or if the request it
-// waits for won't be heard of here. The outcome is unknown rather than not run,
-// since an earlier request with the key may have had its effect.
-func (m *Machine) sweepWaiting(c *claim) {
-	s := m.shards[c.shard]
-	r := s.records.get(c.key)
-	var reason dfuoutcome.Reason
-	switch {
-	case m.now >= c.deadline:
-		reason = dfuoutcome.ReasonKeyRunning
-	case !s.grants() && !m.runsHere(c.key):
-		reason = dfuoutcome.ReasonKeyRunning
-	case r == nil && !m.runsHere(c.key):
-		reason = dfuoutcome.ReasonKeyTooOld
-	case r != nil && r.Runner != m.self && !m.roster.serves(r.Runner):
-		reason = dfuoutcome.ReasonOwnerLost
-	default:
-		return
-	}
-	m.stopWaiting(c)
-	m.deny(c, dfuoutcome.Unknown, reason)
-}
 
-// runsHere reports whether a request with the key is running at this node.
-func (m *Machine) runsHere(key dfuident.Key) bool {
-	for _, c := range m.claims {
-		if c.key == key && c.state == claimRunning {
-			return true
-		}
-	}
-	return false
-}
+// waits for won't be heard of here. The outcome is unknown rather than not run,
