core/process/dfumembership: keep the target of a node that left

A node announced that it left without naming its target again, so it vanished from its service's list in place of being shown as left.

--- a/core/process/dfumembership/machine.go
+++ b/core/process/dfumembership/machine.go
@@ -249,7 +249,9 @@
 func (m *Machine) announce(now dfuclock.Time, e Announced) {
 	u := &m.self.update
 	details := *u.Details
-	details.Target = e.Target
+	if !e.Left {
+		details.Target = e.Target
+	}
 	if u.State == Left || (*u.Details == details && !e.Left) {
 		return
 	}
--- a/core/process/dfumembership/message.go
+++ b/core/process/dfumembership/message.go
@@ -131,7 +131,8 @@
 // Announced tells what the node's own target is now.
 type Announced struct {
 	Target Target
-	// Left says that the node takes no part any more. It is final.
+	// Left says that the node takes no part any more. It is final, and the
+	// target stays what it was.
 	Left bool
 }
 
