measure/policy: drive the real gate; core/connection/dfuchoice: keep overloaded queues even

The gates of the measurement were fakes with a queue in order of arrival, and callers that give up had told their patience as the deadline, so the load was lower than stated. Now dfugate decides, and a deadline says nothing about when a caller leaves.

All failures were 'queue_full' at single targets: a target whose refusal carried no load counted as hardly full, so requests waited there. What a load told now holds for 1 s while refusals go on, and the far region's observed latency bounds the gain of crossing.

--- a/core/connection/dfuchoice/response.go
+++ b/core/connection/dfuchoice/response.go
@@ -17,6 +17,9 @@
 	// busyRate is the refusal rate above which most targets have no free slot,
 	// so that looking for one takes more time than it gains.
 	busyRate = 0.8
+	// crowdedRate is the refusal rate above which requests that wait without
+	// any load known spread over all targets.
+	crowdedRate = 0.6
 	// lookShare is the share of requests that look for a free slot all the
 	// same, so that the rate stays known.
 	lookShare = 0.2
@@ -42,6 +45,9 @@
 		targets, reason = far, ReasonSpillover
 	}
 	target := c.cheapest(now, q, targets, max(draws, min(q.Attempt, 1)*len(targets)))
+	if wait && state.refusals > crowdedRate && !anyTold(now, targets) {
+		target = targets[c.rng.IntN(len(targets))]
+	}
 	choice := plainChoice(q, target)
 	choice.Wait = wait || slices.Contains(q.Refused, target.target.Member.Node)
 	if reason != "" {
@@ -50,6 +56,15 @@
 	return choice
 }
 
+// anyTold reports whether any target's queue is known. If none is, a request
+// that waits goes to any of them: what many entry nodes infer from latencies
+// would send all of them to the same queue.
+func anyTold(now dfuclock.Time, targets []*targetState) bool {
+	return slices.ContainsFunc(targets, func(t *targetState) bool {
+		return t.signal.known && now.Sub(t.signal.toldAt) <= queueLifetime
+	})
+}
+
 // waits decides whether a request waits in a queue: after a few refusals, or
 // when most targets refuse anyway.
 func (c *Chooser) waits(q Query, state *serviceState) bool {
@@ -93,7 +108,11 @@
 		return true
 	}
 	best := c.cheapest(now, q, own, len(own))
-	gain := c.cost(now, q, best) - c.cost(now, q, c.cheapest(now, q, far, len(far)))
+	crossing := c.cost(now, q, c.cheapest(now, q, far, len(far)))
+	if seen, ok := state.spill.farLatency(now); ok {
+		crossing = max(crossing, seen+2*float64(c.settings.Delays.FarRegion))
+	}
+	gain := c.cost(now, q, best) - crossing
 	if slices.Contains(q.Refused, best.target.Member.Node) && gain > price(q) {
 		return true
 	}
--- a/core/connection/dfuchoice/spill.go
+++ b/core/connection/dfuchoice/spill.go
@@ -23,6 +23,8 @@
 	spillMax = 0.8
 	// spillSmoothing is the weight of one request in a region's latency.
 	spillSmoothing = 0.05
+	// farLifetime is how long the far region's latency counts.
+	farLifetime = 2 * dfuclock.Second
 	// deadlineShare is the share of the remaining time above which the price
 	// of the bytes no longer counts.
 	deadlineShare = 0.7
@@ -61,8 +63,8 @@
 // taken to be as good as an own one without load.
 func (s *spill) adjust(now dfuclock.Time, q Query, distance float64) {
 	s.adjusted = now
-	far := s.far
-	if far == 0 || now.Sub(s.farRecent) > 2*dfuclock.Second {
+	far, ok := s.farLatency(now)
+	if !ok {
 		far = float64(defaultServiceTime)
 	}
 	gain := s.own - far - distance
@@ -77,6 +79,12 @@
 	}
 }
 
+// farLatency returns the latency of the far region without the network's part,
+// if it was observed lately. It tells of a load there that no signal tells of.
+func (s *spill) farLatency(now dfuclock.Time) (float64, bool) {
+	return s.far, s.far != 0 && now.Sub(s.farRecent) <= farLifetime
+}
+
 // price returns what the bytes of a request over the link are worth, in
 // milliseconds of latency.
 func price(q Query) float64 {
--- a/core/connection/dfuchoice/target.go
+++ b/core/connection/dfuchoice/target.go
@@ -28,6 +28,9 @@
 	// refusedOccupancy is the load, in slots, of a target that refused a
 	// request without telling its load.
 	refusedOccupancy = 1.3
+	// queueLifetime is how long the queue that a load told of is taken to last
+	// while requests are refused.
+	queueLifetime = dfuclock.Second
 	// defaultSlots stands in for a target that doesn't tell its slots.
 	defaultSlots = 8
 )
@@ -56,8 +59,10 @@
 // signal is a Load with its age and without this node's own part.
 type signal struct {
 	known bool
-	at    dfuclock.Time
-	load  Load
+	// at is when the load or a refusal without one came, toldAt when the load
+	// did.
+	at, toldAt dfuclock.Time
+	load       Load
 	// others is the load that other entry nodes put on the target.
 	others float64
 }
@@ -81,9 +86,7 @@
 	case f.Load != nil:
 		t.noteLoad(now, *f.Load)
 	case f.Kind == FeedbackRefused:
-		t.signal.known, t.signal.at = true, now
-		t.signal.load.ServiceTime = dfuclock.Duration(t.usualService())
-		t.signal.others = refusedOccupancy * t.slots()
+		t.noteFull(now)
 	}
 	if f.Kind == FeedbackAnswered {
 		t.observed = average(t.observed, max(0, float64(f.Latency)-network), t.freshness(now))
@@ -92,6 +95,18 @@
 	t.noteHealth(now, f.Kind)
 }
 
+// noteFull takes a refusal without a load: the slots are full, and what a load
+// told of the queue not long ago still holds.
+func (t *targetState) noteFull(now dfuclock.Time) {
+	full := refusedOccupancy * t.slots()
+	if now.Sub(t.signal.toldAt) <= queueLifetime {
+		full = max(full, t.signal.others)
+	}
+	t.signal.others = full
+	t.signal.load.ServiceTime = dfuclock.Duration(t.usualService())
+	t.signal.known, t.signal.at = true, now
+}
+
 // noteLoad takes a load unless a newer one is known.
 func (t *targetState) noteLoad(now dfuclock.Time, load Load) {
 	if t.signal.known && int16(uint16(load.Sequence)-uint16(t.signal.load.Sequence)) < 0 {
@@ -99,7 +114,7 @@
 	}
 	t.usual = average(t.usual, float64(load.ServiceTime), smoothing)
 	total := float64(load.InFlight) + float64(load.Queued)
-	t.signal = signal{known: true, at: now, load: load, others: max(0, total-float64(t.own))}
+	t.signal = signal{known: true, at: now, toldAt: now, load: load, others: max(0, total-float64(t.own))}
 }
 
 // reported returns the load of the last report.
--- a/measure/policy/entry.go
+++ b/measure/policy/entry.go
@@ -8,10 +8,12 @@
 
 // call is one request of a caller.
 type call struct {
-	entry      *entry
-	work       float64
-	sent       instant
-	deadline   instant
+	entry    *entry
+	work     float64
+	sent     instant
+	deadline instant
+	// leaves is when the caller goes, which nobody else knows in advance.
+	leaves     instant
 	patient    bool
 	idempotent bool
 	done       bool
@@ -29,13 +31,15 @@
 	place   dfuident.Place
 	chooser *dfuchoice.Chooser
 	retries *dfubudget.RetryBudget
+	// sequence counts the attempts.
+	sequence uint64
 }
 
 // accept takes a call, sends its first attempt and plans its end.
 func (e *entry) accept(c *call) {
 	now := e.sim.clock.now
 	e.retries.Earn(e.sim.deployment.Service, "")
-	e.sim.clock.after(c.deadline-now, func() { e.abandon(c) })
+	e.sim.clock.after(c.leaves-now, func() { e.abandon(c) })
 	e.try(c, false)
 	if !e.sim.contender.Hedge {
 		return
@@ -104,7 +108,11 @@
 // send hands an attempt to the network.
 func (e *entry) send(c *call, choice dfuchoice.Choice, hedge bool) {
 	w := e.sim.byNode[choice.Member.Node]
-	a := &attempt{call: c, worker: w, sent: e.sim.clock.now, wait: choice.Wait && !hedge}
+	e.sequence++
+	a := &attempt{
+		id:   dfuident.RequestID{Entry: e.member, Sequence: e.sequence},
+		call: c, worker: w, sent: e.sim.clock.now, wait: choice.Wait && !hedge, assigned: true,
+	}
 	c.attempts++
 	c.live = append(c.live, a)
 	w.assigned++
