measure/cmd/fleet: measure fleets of real nodes from outside

The script starts the processes; the program only reads /proc, the nodes' status pages and the store stand-in's counts, and changes an entry through the store.

--- /dev/null
+++ b/measure/cmd/fleet/nodes.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"dragonflyusher/core/version/dfuroster"
+	"dragonflyusher/measure/fleet"
+	"dragonflyusher/standin/dfustorestandin"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// pollers is how many pages are read at one time.
+	pollers    = 8
+	pollPeriod = 50 * time.Millisecond
+	waitLimit  = 90 * time.Second
+)
+
+// fleetOptions name the nodes and the store.
+type fleetOptions struct {
+	Nodes string `long:"nodes" required:"true" description:"file with a line 'PID HTTP-ADDRESS REGION/ZONE' for each node"`
+	Store string `long:"store" required:"true" description:"address of the store stand-in"`
+}
+
+// node is one running node.
+type node struct {
+	pid     int
+	address string
+	place   string
+}
+
+func (o *fleetOptions) read() ([]node, error) {
+	text, err := os.ReadFile(o.Nodes)
+	if err != nil {
+		return nil, errors.Wrap(err, "read nodes")
+	}
+	var nodes []node
+	for line := range strings.Lines(string(text)) {
+		var n node
+		if _, err := fmt.Sscan(line, &n.pid, &n.address, &n.place); err != nil {
+			return nil, errors.Wrap(err, "read nodes")
+		}
+		nodes = append(nodes, n)
+	}
+	return nodes, nil
+}
+
+// calls returns the number of store calls of all kinds.
+func (o *fleetOptions) calls(ctx context.Context) (dfustorestandin.Counts, int, error) {
+	c, err := fleet.ReadCalls(ctx, o.Store)
+	return c, int(c.Get + c.List + c.Watch + c.CompareAndSwap + c.Delete + c.Lease), err
+}
+
+// untilAll waits until a condition holds for the pages of all nodes and
+// returns how long that took. A page that met it isn't read again.
+func untilAll(ctx context.Context, nodes []node, holds func(fleet.NodePage) bool) (time.Duration, error) {
+	start := time.Now()
+	for len(nodes) > 0 {
+		nodes = unmet(ctx, nodes, holds)
+		if time.Since(start) > waitLimit {
+			return 0, errors.Newf("%d nodes are not there yet, the first is %s", len(nodes), nodes[0].address)
+		}
+		if len(nodes) > 0 {
+			time.Sleep(pollPeriod)
+		}
+	}
+	return time.Since(start), nil
+}
+
+func unmet(ctx context.Context, nodes []node, holds func(fleet.NodePage) bool) []node {
+	var (
+		wg   sync.WaitGroup
+		next = make(chan node)
+		mu   sync.Mutex
+		left []node
+	)
+	for range pollers {
+		wg.Go(func() {
+			for n := range next {
+				page, err := fleet.ReadNodePage(ctx, n.address)
+				if err == nil && holds(page) {
+					continue
+				}
+				mu.Lock()
+				left = append(left, n)
+				mu.Unlock()
+			}
+		})
+	}
+	for _, n := range nodes {
+		next <- n
+	}
+	close(next)
+	wg.Wait()
+	return left
+}
+
+// knows returns the condition that a node counts n nodes as alive.
+func knows(n int) func(fleet.NodePage) bool {
+	return func(p fleet.NodePage) bool {
+		return p.Control.States[dfuroster.Alive] == n
+	}
+}
+
+func printLine(v any) error {
+	return errors.Wrap(json.NewEncoder(os.Stdout).Encode(v), "print")
+}
