core/request: look for a free slot, then wait; tell loads within the measuring budget

Cause: the measured policy (docs/design/07-policy.md) looks for a free slot first and lets loads ride on refusals only, but the machines let every attempt wait and each reply carried a load that nothing charged. Ruled out: sharing the budget by the roster, which peers also fill: the settled share counts pages in the store, which don't name services. Until they do, a node spends its part of the reserve only.

--- a/core/request/dfuattempt/action.go
+++ b/core/request/dfuattempt/action.go
@@ -38,6 +38,8 @@
 	Attempt int
 	Reason  SendReason
 	// Choice is why this target was chosen; it is empty for a fixed owner.
+	// Wait says that the gate may let the request wait for a free slot.
+	Wait   bool
 	Choice dfuchoice.ChoiceReason
 	// Allowance is what the level below is granted.
 	Allowance dfubudget.Allowance
--- a/core/request/dfuattempt/attempts.go
+++ b/core/request/dfuattempt/attempts.go
@@ -72,7 +72,12 @@
 
 	live     []*attempt
 	excluded []dfuident.NodeID
-	sent     int
+	// refused lists those of excluded that had no free slot.
+	refused []dfuident.NodeID
+	sent    int
+	// looking says that the last gate had no room, so that looking elsewhere is
+	// free.
+	looking bool
 	// unproven tells that an attempt ended without proof that it did not run.
 	unproven bool
 	// reason is why the last attempt brought no answer.
--- a/core/request/dfuattempt/reply.go
+++ b/core/request/dfuattempt/reply.go
@@ -25,6 +25,7 @@
 			m.conclude(now, a.request, e.Reason)
 			return
 		}
+		a.request.noteRefused(a.to.Node, e.Reason)
 		m.proven(now, a, SendRefused, e.Reason)
 	default:
 		m.report(now, a, dfuchoice.Feedback{Kind: unknownKind(e.Reason), Load: e.Load})
@@ -35,6 +36,14 @@
 	}
 }
 
+// noteRefused keeps what the next choice has to know of a refusal.
+func (r *request) noteRefused(node dfuident.NodeID, reason dfuoutcome.Reason) {
+	r.looking = reason == dfuoutcome.ReasonQueueFull || reason == dfuoutcome.ReasonDraining
+	if reason == dfuoutcome.ReasonQueueFull {
+		r.refused = append(r.refused, node)
+	}
+}
+
 // unknownKind returns what an unknown outcome tells about the target.
 func unknownKind(reason dfuoutcome.Reason) dfuchoice.FeedbackKind {
 	switch reason {
--- a/core/request/dfuattempt/send.go
+++ b/core/request/dfuattempt/send.go
@@ -7,6 +7,10 @@
 	"dragonflyusher/core/request/dfuoutcome"
 )
 
+// refusedMax is the number of attempts up to which looking elsewhere is free: a
+// gate that has no room refuses before its target has any work.
+const refusedMax = 8
+
 // send makes an attempt and reports whether it did; otherwise r.reason tells
 // why not.
 func (m *Machine) send(now dfuclock.Time, r *request, reason SendReason) bool {
@@ -40,6 +44,7 @@
 		Attempt:   r.sent,
 		Reason:    reason,
 		Choice:    choice.Reason,
+		Wait:      choice.Wait,
 		Allowance: r.allowance,
 		Settled:   m.Settled(),
 	})
@@ -48,7 +53,7 @@
 
 // choose picks a target and, for an extra attempt, charges for it.
 func (m *Machine) choose(now dfuclock.Time, r *request, reason SendReason) (dfuchoice.Choice, bool) {
-	choice := dfuchoice.Choice{Member: r.owner}
+	choice := dfuchoice.Choice{Member: r.owner, Wait: true}
 	if r.owner.IsZero() {
 		var ok bool
 		choice, ok = m.chooser.Choose(now, m.query(now, r))
@@ -60,7 +65,10 @@
 	if reason == SendHedge && paid(choice.Reason) {
 		return choice, false
 	}
-	return choice, reason == SendFirst || m.charge(r)
+	if reason == SendFirst || (reason == SendRefused && r.looking && r.sent < refusedMax) {
+		return choice, true
+	}
+	return choice, m.charge(r)
 }
 
 func (m *Machine) query(now dfuclock.Time, r *request) dfuchoice.Query {
@@ -71,6 +79,7 @@
 		Idempotent: r.idempotent,
 		Body:       r.body,
 		Excluded:   r.excluded,
+		Refused:    r.refused,
 		Attempt:    r.sent,
 	}
 }
--- a/core/request/dfugate/event.go
+++ b/core/request/dfugate/event.go
@@ -41,6 +41,9 @@
 	// Remaining is the time left until the request's deadline.
 	Remaining  dfuclock.Duration
 	Idempotent bool
+	// NoWait asks to refuse the request if it finds no free slot, so that its
+	// entry node can look elsewhere.
+	NoWait bool
 	// Settled is the sequence below which the entry node needs no answer.
 	Settled uint64
 }
--- a/core/request/dfugate/machine.go
+++ b/core/request/dfugate/machine.go
@@ -110,6 +110,7 @@
 	key         dfuident.Key
 	fingerprint dfucrash.Fingerprint
 	idempotent  bool
+	noWait      bool
 	deadline    dfuclock.Time
 	arrival     uint64
 
--- a/core/request/dfugate/offer.go
+++ b/core/request/dfugate/offer.go
@@ -103,6 +103,7 @@
 		key:         o.Key,
 		fingerprint: o.Fingerprint,
 		idempotent:  o.Idempotent,
+		noWait:      o.NoWait,
 		deadline:    now.Add(o.Remaining),
 		arrival:     m.arrivals,
 	}
@@ -124,7 +125,11 @@
 	case m.tooLate(now, r):
 		return dfuoutcome.ReasonDeadlineTooShort
 	}
-	if len(m.running)+m.waiting() >= m.slots()+m.limits.Queue {
+	occupied := len(m.running) + m.waiting()
+	if r.noWait && occupied >= m.slots() {
+		return dfuoutcome.ReasonQueueFull
+	}
+	if occupied >= m.slots()+m.limits.Queue {
 		victim := m.queue.victim(r)
 		if victim == nil {
 			return dfuoutcome.ReasonQueueFull
--- a/core/version/dfucatalogue/check.go
+++ b/core/version/dfucatalogue/check.go
@@ -12,18 +12,19 @@
 
 // The greatest values that an entry may hold.
 const (
-	MaxConcurrency = 10_000
-	MaxRatePerS    = 1_000_000
-	MaxQueue       = 100_000
-	MaxBodyBytes   = 64 << 20
-	MaxDeadline    = 10 * dfuclock.Minute
-	MaxBytesPerS   = 1 << 30
-	MaxCallsPerS   = 1_000_000
-	MinKeyWindow   = dfuclock.Second
-	MaxKeyWindow   = 7 * 24 * dfuclock.Hour
-	MaxDrain       = 1_000
-	MaxOwnerLength = 128
-	MaxNodeLength  = 128
+	MaxConcurrency    = 10_000
+	MaxRatePerS       = 1_000_000
+	MaxQueue          = 100_000
+	MaxBodyBytes      = 64 << 20
+	MaxDeadline       = 10 * dfuclock.Minute
+	MaxBytesPerS      = 1 << 30
+	MaxPlannedTargets = 512
+	MaxCallsPerS      = 1_000_000
+	MinKeyWindow      = dfuclock.Second
+	MaxKeyWindow      = 7 * 24 * dfuclock.Hour
+	MaxDrain          = 1_000
+	MaxOwnerLength    = 128
+	MaxNodeLength     = 128
 )
 
 var serviceName = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
@@ -103,6 +104,7 @@
 func (c *checker) measuring(m *Measuring) {
 	c.within("measuring.bytes_per_s", int64(m.BytesPerS), 0, MaxBytesPerS)
 	c.within("measuring.calls_per_s", int64(m.CallsPerS), 0, MaxCallsPerS)
+	c.within("measuring.planned_targets", int64(m.PlannedTargets), 1, MaxPlannedTargets)
 	c.within("measuring.link_bytes_per_s", int64(m.LinkBytesPerS), 0, MaxBytesPerS)
 	if m.LinkBytesPerS > m.BytesPerS {
 		c.add("measuring.link_bytes_per_s", "must not exceed measuring.bytes_per_s, which is %d", m.BytesPerS)
--- a/core/version/dfucatalogue/entry.go
+++ b/core/version/dfucatalogue/entry.go
@@ -75,6 +75,9 @@
 	// LinkBytesPerS is the part of BytesPerS that may cross the link between
 	// regions.
 	LinkBytesPerS dfuident.Bytes `json:"link_bytes_per_s"`
+	// PlannedTargets is the most targets of the service that one region ever
+	// has. The budget is shared out by it.
+	PlannedTargets int `json:"planned_targets"`
 }
 
 // Retry bounds the extra attempts that the system makes by itself.
@@ -87,16 +90,17 @@
 
 // The values of fields that an entry leaves out.
 const (
-	DefaultConcurrency   = 8
-	DefaultQueue         = 32
-	DefaultBodyBytes     = 1 << 20
-	DefaultAnswerBytes   = 4 << 20
-	DefaultDeadline      = 10 * dfuclock.Second
-	DefaultBytesPerS     = 20_000
-	DefaultCallsPerS     = 200
-	DefaultLinkBytesPerS = 2_000
-	DefaultRetryPercent  = 10
-	DefaultKeyWindow     = 10 * dfuclock.Minute
+	DefaultConcurrency    = 8
+	DefaultQueue          = 32
+	DefaultBodyBytes      = 1 << 20
+	DefaultAnswerBytes    = 4 << 20
+	DefaultDeadline       = 10 * dfuclock.Second
+	DefaultBytesPerS      = 20_000
+	DefaultCallsPerS      = 200
+	DefaultLinkBytesPerS  = 2_000
+	DefaultPlannedTargets = 16
+	DefaultRetryPercent   = 10
+	DefaultKeyWindow      = 10 * dfuclock.Minute
 )
 
 // Defaults returns an entry of which only the service and owner are missing.
@@ -111,9 +115,10 @@
 			Deadline:    DefaultDeadline,
 		},
 		Measuring: Measuring{
-			BytesPerS:     DefaultBytesPerS,
-			CallsPerS:     DefaultCallsPerS,
-			LinkBytesPerS: DefaultLinkBytesPerS,
+			BytesPerS:      DefaultBytesPerS,
+			CallsPerS:      DefaultCallsPerS,
+			LinkBytesPerS:  DefaultLinkBytesPerS,
+			PlannedTargets: DefaultPlannedTargets,
 		},
 		Retry:     Retry{BudgetPercent: DefaultRetryPercent},
 		KeyWindow: DefaultKeyWindow,
@@ -130,6 +135,7 @@
 	fill(&e.Limits.BodyBytes, d.Limits.BodyBytes)
 	fill(&e.Limits.AnswerBytes, d.Limits.AnswerBytes)
 	fill(&e.Limits.Deadline, d.Limits.Deadline)
+	fill(&e.Measuring.PlannedTargets, d.Measuring.PlannedTargets)
 	fill(&e.KeyWindow, d.KeyWindow)
 	return e
 }
--- a/io/process/dfunode/admin.go
+++ b/io/process/dfunode/admin.go
@@ -22,17 +22,28 @@
 	Zone        dfuident.Zone        `json:"zone"`
 	Service     dfuident.Service     `json:"service"`
 	// Target is the address of the local target.
-	Target      dfuident.Address            `json:"target"`
-	State       string                      `json:"state"`
-	Draining    bool                        `json:"draining"`
-	Slots       int                         `json:"slots"`
-	InFlight    int                         `json:"in_flight"`
-	Queued      int                         `json:"queued"`
-	ServiceTime dfuclock.Duration           `json:"service_time_ms"`
-	View        ViewStatus                  `json:"view"`
-	Peers       []PeerStatus                `json:"peers"`
-	Refused     map[dfuoutcome.Reason]int64 `json:"refused"`
-	Control     dfucontrol.Status           `json:"control"`
+	Target      dfuident.Address  `json:"target"`
+	State       string            `json:"state"`
+	Draining    bool              `json:"draining"`
+	Slots       int               `json:"slots"`
+	InFlight    int               `json:"in_flight"`
+	Queued      int               `json:"queued"`
+	ServiceTime dfuclock.Duration `json:"service_time_ms"`
+	View        ViewStatus        `json:"view"`
+	Peers       []PeerStatus      `json:"peers"`
+	// Measuring is what the gate spent on telling its load.
+	Measuring MeasuringStatus             `json:"measuring"`
+	Refused   map[dfuoutcome.Reason]int64 `json:"refused"`
+	Control   dfucontrol.Status           `json:"control"`
+}
+
+// MeasuringStatus says what was spent on measuring since the start, and the
+// service's budget for the whole fleet.
+type MeasuringStatus struct {
+	SpentBytes     dfuident.Bytes `json:"spent_bytes"`
+	SpentLinkBytes dfuident.Bytes `json:"spent_link_bytes"`
+	Refused        uint64         `json:"refused"`
+	BudgetBytes    dfuident.Bytes `json:"budget_bytes"`
 }
 
 // ViewStatus says how current the node's view is.
@@ -151,6 +162,12 @@
 	status.Refused = gate.Refused
 	s.target.mu.Lock()
 	defer s.target.mu.Unlock()
+	status.Measuring = MeasuringStatus{
+		SpentBytes:     gate.Measuring.Bytes,
+		SpentLinkBytes: gate.Measuring.LinkBytes,
+		Refused:        gate.Measuring.Refused,
+		BudgetBytes:    dfuident.Bytes(s.target.budget.BytesPerSecond),
+	}
 	if s.target.present {
 		status.Service = s.target.current.Service
 		status.Target = s.target.current.Address
--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -248,6 +248,7 @@
 		Log:     n.log,
 		Metrics: n.metrics,
 		Tracer:  n.tracer,
+		Region:  n.settings.Region,
 		Claims:  claims,
 		Machine: dfugate.New(dfugate.DefaultConfig(), self),
 		Tell:    news.tell,
@@ -255,6 +256,7 @@
 	chooser := dfuchoice.New(dfuchoice.DefaultSettings(), newRand())
 	entry := dfudispatch.New(dfudispatch.Deps{
 		Self:    self,
+		Place:   n.place(),
 		Clock:   n.clock,
 		Log:     n.log,
 		Metrics: n.metrics,
--- a/io/process/dfunode/target.go
+++ b/io/process/dfunode/target.go
@@ -7,11 +7,13 @@
 	"sync"
 	"time"
 
+	"dragonflyusher/core/process/dfubudget"
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfudecode"
 	"dragonflyusher/core/process/dfufinding"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/request/dfugate"
+	"dragonflyusher/core/version/dfucatalogue"
 	"dragonflyusher/core/version/dfuroster"
 	"dragonflyusher/io/connection/dfutarget"
 	"dragonflyusher/io/request/dfuadmission"
@@ -68,6 +70,7 @@
 	stopping bool
 	closed   bool
 	limits   dfugate.Limits
+	budget   dfubudget.Budget
 }
 
 // announce takes an announcement.
@@ -123,9 +126,29 @@
 		t.limits = limits
 		t.gate.Notify(dfugate.LimitsChanged{Limits: limits})
 	}
+	t.setBudget(entry, view)
 	t.settle()
 }
 
+// setBudget takes over the service's budget for measuring.
+func (t *localTarget) setBudget(entry dfucatalogue.Entry, view *dfuroster.View) {
+	regions := map[dfuident.Region]struct{}{}
+	for _, n := range view.Nodes() {
+		regions[n.Place.Region] = struct{}{}
+	}
+	budget := dfubudget.Budget{
+		BytesPerSecond:     dfubudget.Rate(entry.Measuring.BytesPerS),
+		CallsPerSecond:     dfubudget.Rate(entry.Measuring.CallsPerS),
+		LinkBytesPerSecond: dfubudget.Rate(entry.Measuring.LinkBytesPerS),
+		Regions:            max(len(regions), t.budget.Regions),
+		PlannedNodes:       entry.Measuring.PlannedTargets,
+	}
+	if budget != t.budget {
+		t.budget = budget
+		t.gate.SetBudget(budget)
+	}
+}
+
 // stop drains the target because the node is about to end.
 func (t *localTarget) stop() {
 	t.mu.Lock()
--- a/io/request/dfuadmission/duty.go
+++ b/io/request/dfuadmission/duty.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"dragonflyusher/core/connection/dfuchoice"
+	"dragonflyusher/core/process/dfubudget"
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/request/dfucrash"
@@ -29,6 +31,7 @@
 	Log     *zap.Logger
 	Metrics metrics.Registry
 	Tracer  *dfutrace.Tracer
+	Region  dfuident.Region
 	Claims  Claims
 	Machine *dfugate.Machine
 	// Tell sends what peers should know of crashes.
@@ -37,10 +40,11 @@
 
 // Status is the state of the gate for operators.
 type Status struct {
-	Load     dfumessage.Load
-	Draining bool
-	Drained  bool
-	Refused  map[dfuoutcome.Reason]int64
+	Load      dfugate.Load
+	Draining  bool
+	Drained   bool
+	Measuring dfubudget.Usage
+	Refused   map[dfuoutcome.Reason]int64
 }
 
 // Duty runs one gate. The machine is stepped under a mutex by whichever
@@ -62,6 +66,7 @@
 	draining bool
 	drained  bool
 	refused  map[dfuoutcome.Reason]int64
+	measured *dfubudget.Measuring
 }
 
 // run is an offer that has no reply yet. Its goroutine waits on wake.
@@ -95,6 +100,7 @@
 		pending:  map[dfuident.RequestID]*run{},
 		kept:     newKeptAnswers(),
 		refused:  map[dfuoutcome.Reason]int64{},
+		measured: dfubudget.NewMeasuring(deps.Clock.Now()),
 		runs:     metrics.GetOrRegisterCounter("gate.runs", deps.Metrics),
 		canceled: metrics.GetOrRegisterCounter("gate.canceled_runs", deps.Metrics),
 	}
@@ -185,7 +191,13 @@
 func (d *Duty) Status() Status {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return Status{Load: d.load(), Draining: d.draining, Drained: d.drained, Refused: maps.Clone(d.refused)}
+	return Status{
+		Load:      d.deps.Machine.Load(),
+		Draining:  d.draining,
+		Drained:   d.drained,
+		Measuring: d.measured.Usage(dfubudget.CausePiggyback),
+		Refused:   maps.Clone(d.refused),
+	}
 }
 
 // Close answers what is left when the process stops: a request that the target
@@ -353,7 +365,10 @@
 		return
 	}
 	delete(d.pending, id)
-	reply := &dfumessage.Reply{ID: id, Outcome: outcome, Reason: reason, Load: d.load()}
+	reply := &dfumessage.Reply{ID: id, Outcome: outcome, Reason: reason}
+	if outcome == dfuoutcome.NotRun {
+		reply.Load = d.load(r.offer.From)
+	}
 	if outcome == dfuoutcome.Answered {
 		reply.Answer = r.answer
 		reply.Checksum = dfumessage.Sum(id, r.answer.Body)
@@ -402,15 +417,26 @@
 	d.seal = reply
 }
 
-func (d *Duty) load() dfumessage.Load {
-	l := d.deps.Machine.Load()
-	return dfumessage.Load{
-		InFlight:    l.InFlight,
-		Queued:      l.Queued,
-		Slots:       l.Slots,
-		ServiceTime: l.ServiceTime,
-		Sequence:    l.Sequence,
+// load returns the load to send with a refusal to a region, or nothing if the
+// measuring budget is spent.
+func (d *Duty) load(to dfuident.Region) []byte {
+	load := dfuchoice.Load(d.deps.Machine.Load())
+	spend := dfubudget.Spend{
+		Cause: dfubudget.CausePiggyback,
+		Bytes: dfuchoice.LoadBytes(load),
+		Link:  to != d.deps.Region,
 	}
+	if !d.measured.Take(d.deps.Clock.Now(), spend) {
+		return nil
+	}
+	return dfuchoice.AppendLoad(nil, load)
+}
+
+// SetBudget puts a changed measuring budget in force.
+func (d *Duty) SetBudget(budget dfubudget.Budget) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.measured.SetBudget(d.deps.Clock.Now(), budget)
 }
 
 func sealState(state dfugate.SealState) dfumessage.SealState {
@@ -436,6 +462,7 @@
 		Fingerprint: fingerprint(offer),
 		Remaining:   offer.Remaining,
 		Idempotent:  offer.Idempotent,
+		NoWait:      offer.NoWait,
 		Settled:     offer.Settled,
 	}
 }
--- a/io/request/dfudispatch/convert.go
+++ b/io/request/dfudispatch/convert.go
@@ -100,3 +100,15 @@
 	return len(call.Body) > bulkBody ||
 		(ok && (entry.Limits.BodyBytes > dfucatalogue.DefaultBodyBytes || entry.Limits.AnswerBytes > dfucatalogue.DefaultAnswerBytes))
 }
+
+// loadOf returns the load that came with a reply, or nil.
+func loadOf(reply *dfumessage.Reply) *dfuchoice.Load {
+	if len(reply.Load) == 0 {
+		return nil
+	}
+	load, err := dfuchoice.ParseLoad(reply.Load)
+	if err != nil {
+		return nil
+	}
+	return &load
+}
--- a/io/request/dfudispatch/duty.go
+++ b/io/request/dfudispatch/duty.go
@@ -50,6 +50,7 @@
 // Deps are what a Duty needs.
 type Deps struct {
 	Self    dfuident.Member
+	Place   dfuident.Place
 	Clock   dfuclock.Clock
 	Log     *zap.Logger
 	Metrics metrics.Registry
@@ -388,7 +389,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r.sent = append(r.sent, a.ID)
 	d.attempts[a.ID] = &attempt{to: node, cancel: cancel, span: span}
-	out := &outgoing{ctx: ctx, to: node, offer: newOffer(a, r, traceparent)}
+	out := &outgoing{ctx: ctx, to: node, offer: d.newOffer(a, r, traceparent)}
 	if r == d.current && r.own == nil {
 		r.own = out
 		return
@@ -396,7 +397,7 @@
 	go d.offer(out)
 }
 
-func newOffer(a dfuattempt.Send, r *request, traceparent string) *dfumessage.Offer {
+func (d *Duty) newOffer(a dfuattempt.Send, r *request, traceparent string) *dfumessage.Offer {
 	return &dfumessage.Offer{
 		ID:          a.ID,
 		To:          a.To,
@@ -407,6 +408,8 @@
 		Settled:     a.Settled,
 		Allowance:   int(a.Allowance),
 		Idempotent:  r.event.Idempotent,
+		NoWait:      !a.Wait,
+		From:        d.deps.Place.Region,
 		Bulk:        r.bulk,
 		Traceparent: traceparent,
 		Method:      r.call.Method,
@@ -440,7 +443,6 @@
 	case reply.Outcome == dfuoutcome.Answered && reply.Checksum != dfumessage.Sum(id, reply.Answer.Body):
 		return replied{id: id, event: dfuattempt.LinkLost{ID: id}}
 	}
-	load := dfuchoice.Load(reply.Load)
 	return replied{
 		id:     id,
 		answer: &reply.Answer,
@@ -450,7 +452,7 @@
 			Reason:       reply.Reason,
 			TargetError:  reply.Answer.Status >= firstServerError,
 			RetriedBelow: reply.Answer.Has(dfutarget.HeaderRetried),
-			Load:         &load,
+			Load:         loadOf(reply),
 		},
 	}
 }
--- a/io/request/dfumessage/message.go
+++ b/io/request/dfumessage/message.go
@@ -40,6 +40,10 @@
 	// Allowance is the number of retries that the levels below may still make.
 	Allowance  int
 	Idempotent bool
+	// NoWait asks to refuse the request if it finds no free slot.
+	NoWait bool
+	// From is the region of the entry node.
+	From dfuident.Region
 	// Bulk says that the request or its answer may be large.
 	Bulk        bool
 	Traceparent string
@@ -51,15 +55,6 @@
 	Checksum uint64
 }
 
-// Load is the state of a target's queue, sent with every answer.
-type Load struct {
-	InFlight    uint16
-	Queued      uint16
-	Slots       uint16
-	ServiceTime dfuclock.Duration
-	Sequence    uint32
-}
-
 // Answer is the whole answer of a target.
 type Answer struct {
 	Status  int
@@ -83,8 +78,10 @@
 	ID      dfuident.RequestID
 	Outcome dfuoutcome.Outcome
 	Reason  dfuoutcome.Reason
-	Load    Load
-	Answer  Answer
+	// Load is the state of the target's queue as dfuchoice encodes it; it is
+	// empty unless the measuring budget allows it.
+	Load   []byte
+	Answer Answer
 	// Checksum is Sum over the id and the answer's body.
 	Checksum uint64
 }
