io/process/dfucontrol: let nodes that start together meet sooner

A key asked of a peer that didn't answer waited for the next digest: it is now asked of another peer that advertised it. A watcher's first list is advertised, joined members pass on what a sync brought, and a reader of the zone page meets those listed before its own write is through.

--- a/core/process/dfumembership/sync.go
+++ b/core/process/dfumembership/sync.go
@@ -47,7 +47,8 @@
 // receive merges a message's news and answers it.
 func (m *Machine) receive(now dfuclock.Time, msg Message) {
 	across := msg.From.Region != m.region
-	spread := across || (msg.Kind != SyncReply && msg.Kind != SyncRequest) || len(msg.Updates) <= m.cfg.GossipFanout
+	// What a joining node is told, the others know.
+	spread := across || msg.Kind != SyncReply || m.Joined()
 	for _, u := range msg.Updates {
 		m.accept(now, u, spread)
 	}
@@ -94,12 +95,12 @@
 // compareToJoin syncs with one member that has joined and, until one answers,
 // with one that has not either.
 func (m *Machine) compareToJoin(now dfuclock.Time, msg Message) {
-	next := &m.sync.next
+	next, period := &m.sync.next, m.cfg.GossipPeriod
 	if msg.Joined {
-		next = &m.sync.nextJoined
+		next, period = &m.sync.nextJoined, m.cfg.ProbePeriod
 	}
 	if !now.Before(*next) {
-		*next = now.Add(m.cfg.ProbePeriod)
+		*next = now.Add(period)
 		m.beginSync(now, msg.From)
 	}
 }
@@ -138,6 +139,8 @@
 		m.requestSync(msg.From, msg.Cursor)
 		return
 	}
+	// The node's own news was sent to few while it knew few.
+	m.queue.add(m.self, m.sendLimit())
 	theirs := make(map[dfuident.NodeID]Update, len(msg.Updates))
 	for _, u := range msg.Updates {
 		theirs[u.Member.Node] = u
--- a/core/version/dfurecord/exchange.go
+++ b/core/version/dfurecord/exchange.go
@@ -1,6 +1,8 @@
 package dfurecord
 
 import (
+	"cmp"
+	"maps"
 	"math/bits"
 	"math/rand/v2"
 	"slices"
@@ -80,8 +82,8 @@
 	peers PeersChanged
 	// adverts counts the rounds left for each changed key.
 	adverts map[string]int
-	// fetching holds until when a fetch of a key is waited for.
-	fetching map[string]dfuclock.Time
+	// fetching holds the keys that are waited for.
+	fetching map[string]fetch
 	// confirmed holds when the store last confirmed each prefix.
 	confirmed map[string]dfuclock.Time
 	synced    bool
@@ -94,6 +96,13 @@
 	changed []string
 }
 
+// fetch is a key that was asked of a peer.
+type fetch struct {
+	until dfuclock.Time
+	// other is another peer that has it, asked if the first doesn't answer.
+	other Peer
+}
+
 // NewExchange returns the exchange of a node that has no peers yet.
 func NewExchange(self Peer, set *Set, cfg ExchangeConfig, rng *rand.Rand) *Exchange {
 	return &Exchange{
@@ -102,7 +111,7 @@
 		rng:       rng,
 		self:      self,
 		adverts:   make(map[string]int),
-		fetching:  make(map[string]dfuclock.Time),
+		fetching:  make(map[string]fetch),
 		confirmed: make(map[string]dfuclock.Time),
 	}
 }
@@ -179,12 +188,30 @@
 // anybody confirmed the copy.
 func (x *Exchange) tick(now dfuclock.Time) {
 	x.advertise()
-	for key, until := range x.fetching {
-		if !now.Before(until) {
-			delete(x.fetching, key)
+	x.stepFetches(now)
+	x.stepRead(now)
+}
+
+// stepFetches gives up on peers that did not answer and asks others.
+func (x *Exchange) stepFetches(now dfuclock.Time) {
+	again := make(map[Peer][]string)
+	for key, f := range x.fetching {
+		if now.Before(f.until) {
+			continue
+		}
+		delete(x.fetching, key)
+		if f.other != (Peer{}) {
+			again[f.other] = append(again[f.other], key)
 		}
 	}
-	x.stepRead(now)
+	for _, p := range slices.SortedFunc(maps.Keys(again), comparePeers) {
+		slices.Sort(again[p])
+		x.fetch(now, p, again[p])
+	}
+}
+
+func comparePeers(a, b Peer) int {
+	return cmp.Compare(a.Node, b.Node)
 }
 
 // stepRead asks for a read some time after the copy has become too old, since
@@ -223,12 +250,12 @@
 	behind := e.Revision < x.set.Greatest(e.Prefix)
 	if e.Listed {
 		for _, r := range x.set.MergeList(e.Prefix, e.Records, e.Revision) {
-			x.note(r.Key)
+			x.note(r.Key, true)
 		}
 	} else {
 		for _, r := range e.Records {
 			if x.set.MergeFromStore(r, e.Revision).Changed() {
-				x.note(r.Key)
+				x.note(r.Key, true)
 			}
 		}
 	}
@@ -331,14 +358,21 @@
 	return keys
 }
 
-// fetch asks a peer for keys that aren't being fetched yet.
+// fetch asks a peer for keys that aren't being fetched yet, and remembers it as
+// another source of those that are.
 func (x *Exchange) fetch(now dfuclock.Time, from Peer, keys []string) {
 	var asked []string
 	for _, key := range keys {
-		if _, ok := x.fetching[key]; !ok && len(x.fetching) < x.set.limits.Keys {
-			x.fetching[key] = now.Add(x.cfg.FetchTimeout)
+		f, ok := x.fetching[key]
+		if ok {
+			f.other = from
+		} else if len(x.fetching) < x.set.limits.Keys {
+			f.until = now.Add(x.cfg.FetchTimeout)
 			asked = append(asked, key)
+		} else {
+			continue
 		}
+		x.fetching[key] = f
 	}
 	if len(asked) > 0 {
 		x.counts.Fetches++
@@ -360,7 +394,7 @@
 		delete(x.fetching, r.Key)
 		v := x.set.MergeFromPeer(r)
 		if v.Changed() {
-			x.note(r.Key)
+			x.note(r.Key, x.synced)
 		}
 		if v == Unproven && !now.Before(x.doubtAt) {
 			x.doubtAt = now.Add(x.quietPeriod())
@@ -373,13 +407,13 @@
 	}
 }
 
-// note marks a key as changed and to be advertised. A node that takes over its
-// first copy tells nobody what everybody knows.
-func (x *Exchange) note(key string) {
+// note marks a key as changed and maybe to be advertised. A node that takes over
+// its first copy from a peer tells nobody what the others know.
+func (x *Exchange) note(key string, advertise bool) {
 	if !slices.Contains(x.changed, key) {
 		x.changed = append(x.changed, key)
 	}
-	if x.synced {
+	if advertise {
 		x.adverts[key] = x.cfg.Rounds
 	}
 }
--- a/io/process/dfucontrol/duty_test.go
+++ b/io/process/dfucontrol/duty_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -23,8 +25,11 @@
 
 // fakeStore keeps records in memory. It can be switched off.
 type fakeStore struct {
-	mu       sync.Mutex
-	down     bool
+	mu   sync.Mutex
+	down bool
+	// lose makes that many writes take effect without a reply.
+	lose     int
+	writes   int
 	revision dfuident.Revision
 	records  map[string]dfustore.Record
 }
@@ -99,10 +104,28 @@
 		return 0, &dfustore.ConflictError{Current: current}
 	}
 	s.revision++
+	s.writes++
 	s.records[key] = dfustore.Record{Key: key, Value: value, Revision: s.revision}
+	if s.lose > 0 {
+		s.lose--
+		return 0, dfustore.ErrUncertain
+	}
 	return s.revision, nil
 }
 
+// page returns the nodes that a zone's page lists, and the writes so far.
+func (s *fakeStore) page(t *testing.T, key string) (nodes []dfuident.Member, writes int) {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if value := s.records[key].Value; value != nil {
+		if err := json.Unmarshal(value, &nodes); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return nodes, s.writes
+}
+
 // network joins duties without sockets.
 type network struct {
 	mu    sync.Mutex
@@ -242,3 +265,63 @@
 	n, _ := second.View().Node("vm-0")
 	is.Equal(n.Member, again.Member())
 }
+
+func TestPageWriteWithLostReplyIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.store.lose = 1
+	d, _ := f.start(0)
+	f.wait("the node is known", allAlive([]*dfucontrol.Duty{d}, 1))
+	f.wait("the loss is over", func() bool {
+		nodes, _ := f.store.page(t, "zone/sued/sued-a")
+		return len(nodes) == 1 && d.Status().StoreError == ""
+	})
+	nodes, writes := f.store.page(t, "zone/sued/sued-a")
+	is.Equal(nodes, []dfuident.Member{d.Member()})
+	is.Equal(writes, 1)
+}
+
+func TestNodesThatStartTogetherAreAllOnTheirPages(t *testing.T) {
+	f := newFleet(t)
+	const n = 20
+	var duties []*dfucontrol.Duty
+	for i := range n {
+		d, _ := f.start(i)
+		duties = append(duties, d)
+	}
+	f.wait("every node sees all targets", allAlive(duties, n))
+	f.wait("the pages list all of their zone", func() bool {
+		for i, d := range duties {
+			nodes, _ := f.store.page(t, fmt.Sprintf("zone/sued/sued-%c", 'a'+i%2))
+			if !slices.Contains(nodes, d.Member()) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func TestMembershipGoesOnWithoutTheStore(t *testing.T) {
+	f := newFleet(t)
+	var duties []*dfucontrol.Duty
+	for i := range 4 {
+		d, _ := f.start(i)
+		duties = append(duties, d)
+	}
+	f.store.put("catalogue/lager", entryValue(t, "one"))
+	f.wait("every node sees four targets", allAlive(duties, 4))
+	f.wait("the entry is in force", func() bool {
+		_, _, ok := duties[0].View().Entry("lager")
+		return ok
+	})
+	f.store.setDown(true)
+	f.wait("the outage is reported", func() bool { return duties[0].Status().StoreError != "" || !duties[0].Status().Watcher })
+	duties[3].Announce(dfucontrol.Announcement{Left: true})
+	f.wait("the leave is known", func() bool {
+		node, _ := duties[0].View().Node("vm-3")
+		return node.State == dfuroster.Left && node.Service == "lager"
+	})
+	if _, _, ok := duties[0].View().Entry("lager"); !ok {
+		t.Fatal("the entry is gone")
+	}
+}
--- a/io/process/dfucontrol/page.go
+++ b/io/process/dfucontrol/page.go
@@ -26,6 +26,9 @@
 	// firstPagePeriod is the time between the first two checks of the pages;
 	// it doubles up to the configured period.
 	firstPagePeriod = 400 * dfuclock.Millisecond
+	// maxConflictWait bounds the wait after a write that another node's write
+	// came before.
+	maxConflictWait = dfuclock.Second
 	// foreignPerZone is how many members of each other zone a page lists.
 	foreignPerZone = 2
 )
@@ -155,22 +158,24 @@
 		if err := sleep(ctx, period/2+d.jitter(period)); err != nil {
 			return err
 		}
-		if d.bridge.Load() && d.readSeeds(ctx) {
-			if _, err := d.writePage(ctx); err != nil {
-				d.storeFailed("write zone page", err)
-			}
+		if !d.bridge.Load() {
+			continue
+		}
+		if _, err := d.writePage(ctx); err != nil && !errors.Is(err, dfustore.ErrConflict) {
+			d.storeFailed("write zone page", err)
 		}
+		d.readSeeds(ctx)
 	}
 }
 
 // readSeeds tells the membership whom the pages list, if the store answers.
-func (d *Duty) readSeeds(ctx context.Context) bool {
+func (d *Duty) readSeeds(ctx context.Context) {
 	nodes, err := d.readPages(ctx, dfustore.ZonePrefix)
 	if err != nil {
 		d.storeFailed("read zone pages", err)
-		return false
+		return
 	}
-	return d.inbox.Offer(input{event: dfuroster.Seeded{Seeds: seedsOf(nodes)}})
+	d.inbox.Offer(input{event: dfuroster.Seeded{Seeds: seedsOf(nodes)}})
 }
 
 func (d *Duty) untilWritten(ctx context.Context) error {
@@ -180,7 +185,9 @@
 		if done {
 			return nil
 		}
-		if err != nil && !errors.Is(err, dfustore.ErrConflict) {
+		if errors.Is(err, dfustore.ErrConflict) {
+			wait.next = min(wait.next, maxConflictWait)
+		} else if err != nil {
 			d.storeFailed("write zone page", err)
 		}
 		if err := wait.sleep(ctx); err != nil {
@@ -190,8 +197,9 @@
 }
 
 // writePage makes the page list every live member of the zone, so that one
-// write serves all that wait for theirs. It reports whether the page does. A
-// write with a lost reply is settled by reading the page again.
+// write serves all that wait for theirs, and tells the membership whom it lists.
+// It reports whether the page is as it should be. A write with a lost reply is
+// settled by reading the page again.
 func (d *Duty) writePage(ctx context.Context) (bool, error) {
 	key := dfustore.ZoneKey(d.cfg.Place)
 	record, err := d.deps.Store.Get(ctx, key)
@@ -203,9 +211,9 @@
 	if err != nil {
 		d.deps.Log.Warn("zone page is replaced", zap.String("key", key), zap.Error(err))
 	}
+	d.inbox.Offer(input{event: dfuroster.Seeded{Seeds: seedsOf(page)}})
 	next := mergePage(page, d.View(), d.cfg.Place)
 	if slices.Equal(page, next) {
-		d.inbox.Offer(input{event: dfuroster.Seeded{Seeds: seedsOf(page)}})
 		return true, nil
 	}
 	value, err := json.Marshal(next)
@@ -216,11 +224,8 @@
 	if !record.Exists() {
 		expect = 0
 	}
-	if _, err = d.deps.Store.CompareAndSwap(ctx, key, expect, value, 0); err != nil {
-		return false, err
-	}
-	d.inbox.Offer(input{event: dfuroster.Seeded{Seeds: seedsOf(next)}})
-	return true, nil
+	_, err = d.deps.Store.CompareAndSwap(ctx, key, expect, value, 0)
+	return err == nil, err
 }
 
 // mergePage returns the page with the view's live members of the zone at their
--- a/measure/cmd/membership/main.go
+++ b/measure/cmd/membership/main.go
@@ -35,6 +35,7 @@
 	Sizes  []int  `long:"nodes" description:"number of nodes, may be repeated"`
 	Trials int    `long:"trials" default:"10" description:"announcements and records timed for each size"`
 	Loss   int    `long:"loss" default:"0" description:"packets lost of a thousand"`
+	Fanout int    `long:"fanout" default:"3" description:"members that a round of gossip goes to"`
 	Seed   uint64 `long:"seed" default:"1" description:"seed of the random numbers"`
 }
 
@@ -109,6 +110,7 @@
 	cfg.Seed = opts.Seed
 	cfg.LossPerMille = opts.Loss
 	cfg.CountBytes = true
+	cfg.Membership.GossipFanout = opts.Fanout
 	f := dfufleet.New(cfg)
 	f.SetStoreRegion("region-0")
 	for i := range n {
