io/process/dfucontrol: keep a member on its page for the time the dead are remembered

A node that left was taken off its page at once. A later run of it under a clock that was set back then took an incarnation below the one that the others still remembered, and was refused for 10 minutes. The zone's bridge now removes a member once it has been gone for that time.

go test -race ./io/process/dfucontrol passes; the new test restarts a node that left with its clock an hour behind.

--- a/io/process/dfucontrol/config.go
+++ b/io/process/dfucontrol/config.go
@@ -81,6 +81,9 @@
 	// Publish is called with every new view by the goroutine that owns the
 	// machines. It must not block.
 	Publish func(*dfuroster.View)
+	// Superseded is called once if a later run of this node is found to live,
+	// by the same goroutine. It must not block.
+	Superseded func()
 }
 
 // Announcement is what the node's own target is now.
--- a/io/process/dfucontrol/duty_test.go
+++ b/io/process/dfucontrol/duty_test.go
@@ -155,12 +155,18 @@
 
 // start runs a duty and returns it with the function that ends it.
 func (f *fleet) start(i int) (*dfucontrol.Duty, func()) {
+	return f.startAt(i, time.Now)
+}
+
+func (f *fleet) startAt(i int, wall func() time.Time) (*dfucontrol.Duty, func()) {
 	cfg := dfucontrol.DefaultConfig()
+	cfg.PagePeriod = 100 * dfuclock.Millisecond
+	cfg.Membership.DeadRetention = 2 * dfuclock.Second
 	cfg.Node = dfuident.NodeID(fmt.Sprintf("vm-%d", i))
 	cfg.Place = dfuident.Place{Region: "sued", Zone: dfuident.Zone(fmt.Sprintf("sued-%c", 'a'+i%2))}
 	cfg.Peer = dfuident.Address(fmt.Sprintf("127.0.0.1:%d", 7000+i))
 	d := dfucontrol.New(cfg, dfucontrol.Deps{
-		Store: f.store, Caller: f.net, Clock: dfuclock.New(), Wall: time.Now,
+		Store: f.store, Caller: f.net, Clock: dfuclock.New(), Wall: wall,
 		Rand: rand.New(rand.NewPCG(1, uint64(i))), Log: zap.NewNop(),
 	})
 	d.Announce(dfucontrol.Announcement{Target: dfumembership.Target{Service: "lager", Slots: 12}})
@@ -266,6 +272,30 @@
 	is.Equal(n.Member, again.Member())
 }
 
+func TestRunAfterLeaveUnderASlowClockIsNewer(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	first, end := f.start(0)
+	second, _ := f.start(2)
+	f.wait("both see each other", allAlive([]*dfucontrol.Duty{first, second}, 2))
+	before := first.Member()
+	first.Announce(dfucontrol.Announcement{Left: true})
+	f.wait("the leave is known", func() bool {
+		n, _ := second.View().Node("vm-0")
+		return n.State == dfuroster.Left
+	})
+	end()
+	again, endAgain := f.startAt(0, func() time.Time { return time.Now().Add(-time.Hour) })
+	f.wait("both see each other again", allAlive([]*dfucontrol.Duty{again, second}, 2))
+	is.Equal(again.Member().Incarnation, before.Incarnation+1)
+
+	endAgain()
+	f.wait("the page forgets the node", func() bool {
+		nodes, _ := f.store.page(t, "zone/sued/sued-a")
+		return !slices.ContainsFunc(nodes, func(m dfuident.Member) bool { return m.Node == "vm-0" })
+	})
+}
+
 func TestPageWriteWithLostReplyIsNotRepeated(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t)
--- a/io/process/dfucontrol/owner.go
+++ b/io/process/dfucontrol/owner.go
@@ -95,6 +95,9 @@
 		case dfuroster.Superseded:
 			if !o.duty.superseded.Swap(true) {
 				o.duty.deps.Log.Error("a later run of this node lives", zap.Stringer("member", a.By))
+				if o.duty.deps.Superseded != nil {
+					o.duty.deps.Superseded()
+				}
 			}
 		}
 	}
--- a/io/process/dfucontrol/page.go
+++ b/io/process/dfucontrol/page.go
@@ -154,14 +154,16 @@
 	d.deps.Log.Info("on the zone page", zap.Stringer("member", d.Member()))
 	// Zones that start together read each other's pages too early. Which node
 	// is the bridge settles only once the zone's nodes know each other.
+	absent := make(gone)
 	for period := firstPagePeriod; ; period = min(2*period, d.cfg.PagePeriod) {
 		if err := sleep(ctx, period/2+d.jitter(period)); err != nil {
 			return err
 		}
 		if !d.bridge.Load() {
+			clear(absent)
 			continue
 		}
-		if _, err := d.writePage(ctx); err != nil && !errors.Is(err, dfustore.ErrConflict) {
+		if _, err := d.writePage(ctx, absent); err != nil && !errors.Is(err, dfustore.ErrConflict) {
 			d.storeFailed("write zone page", err)
 		}
 		d.readSeeds(ctx)
@@ -181,7 +183,7 @@
 func (d *Duty) untilWritten(ctx context.Context) error {
 	wait := d.newBackoff()
 	for {
-		done, err := d.writePage(ctx)
+		done, err := d.writePage(ctx, nil)
 		if done {
 			return nil
 		}
@@ -199,8 +201,9 @@
 // writePage makes the page list every live member of the zone, so that one
 // write serves all that wait for theirs, and tells the membership whom it lists.
 // It reports whether the page is as it should be. A write with a lost reply is
-// settled by reading the page again.
-func (d *Duty) writePage(ctx context.Context) (bool, error) {
+// settled by reading the page again. Listed members that have been gone for
+// long enough are removed, unless absent is nil.
+func (d *Duty) writePage(ctx context.Context, absent gone) (bool, error) {
 	key := dfustore.ZoneKey(d.cfg.Place)
 	record, err := d.deps.Store.Get(ctx, key)
 	if err != nil {
@@ -212,7 +215,9 @@
 		d.deps.Log.Warn("zone page is replaced", zap.String("key", key), zap.Error(err))
 	}
 	d.inbox.Offer(input{event: dfuroster.Seeded{Seeds: seedsOf(page)}})
-	next := mergePage(page, d.View(), d.cfg.Place)
+	view := d.View()
+	expired := absent.expire(page, view, d.deps.Clock.Now(), d.cfg.Membership.DeadRetention)
+	next := mergePage(page, view, d.cfg.Place, expired)
 	if slices.Equal(page, next) {
 		return true, nil
 	}
@@ -228,29 +233,60 @@
 	return err == nil, err
 }
 
+// gone holds since when listed members have not been alive in the view. While
+// a member stays listed, a later run of it learns the incarnation of the former
+// one, also if the clock was set back.
+type gone map[dfuident.NodeID]dfuclock.Time
+
+// expire notes which listed members are gone and returns those that have been
+// for the retention period.
+func (g gone) expire(page []pageNode, view *dfuroster.View, now dfuclock.Time, retention dfuclock.Duration) map[dfuident.NodeID]bool {
+	if g == nil {
+		return nil
+	}
+	expired := make(map[dfuident.NodeID]bool)
+	listed := make(map[dfuident.NodeID]bool)
+	for _, p := range page {
+		listed[p.Node] = true
+		if n, ok := view.Node(p.Node); ok && isLive(n) {
+			delete(g, p.Node)
+		} else if since, ok := g[p.Node]; !ok {
+			g[p.Node] = now
+		} else if now.Sub(since) >= retention {
+			expired[p.Node] = true
+		}
+	}
+	maps.DeleteFunc(g, func(id dfuident.NodeID, _ dfuclock.Time) bool { return !listed[id] })
+	return expired
+}
+
+func isLive(n dfuroster.Node) bool {
+	return n.State != dfuroster.Dead && n.State != dfuroster.Left
+}
+
 // mergePage returns the page with the view's live members of the zone at their
-// greatest incarnation, and without the members that the view knows are gone.
-// It also lists a few members of each other zone of the region, for the nodes
-// of a zone that start together know only each other.
-func mergePage(page []pageNode, view *dfuroster.View, place dfuident.Place) []pageNode {
+// greatest incarnation, and without the expired ones. It also lists a few
+// members of each other zone of the region, for the nodes of a zone that start
+// together know only each other.
+func mergePage(page []pageNode, view *dfuroster.View, place dfuident.Place, expired map[dfuident.NodeID]bool) []pageNode {
 	byNode := make(map[dfuident.NodeID]pageNode, len(page))
 	for _, n := range page {
-		byNode[n.Node] = n
+		if !expired[n.Node] {
+			byNode[n.Node] = n
+		}
 	}
 	foreign := make(map[dfuident.Place]int)
 	for _, n := range preferListed(view.Nodes(), byNode) {
 		old, listed := byNode[n.Member.Node]
-		if listed && old.Incarnation > n.Member.Incarnation {
+		if !isLive(n) || listed && old.Incarnation > n.Member.Incarnation {
 			continue
 		}
-		live := n.State != dfuroster.Dead && n.State != dfuroster.Left
-		if n.Place != place {
-			live = live && n.Place.Region == place.Region && foreign[n.Place] < foreignPerZone
-			if live {
-				foreign[n.Place]++
-			}
+		if n.Place == place {
+			byNode[n.Member.Node] = newPageNode(n)
+			continue
 		}
-		if live {
+		if n.Place.Region == place.Region && foreign[n.Place] < foreignPerZone {
+			foreign[n.Place]++
 			byNode[n.Member.Node] = newPageNode(n)
 		} else {
 			delete(byNode, n.Member.Node)
