io/connection/dfupeer: find stuck links and lose no call to an idle one

Read for faults and tried each by a failure test over a fake network.

Causes and changes: - net/rpc stops reading at an answer that it can't decode but leaves the connection open; every later call was ErrNotSent for good. Any failure but the peer's own error now ends the link. - A ping behind a body to a peer that stopped reading blocked in net/rpc's write lock before its timer began: the link was never found.

go test -race -count=5 green.

--- a/io/connection/dfupeer/link.go
+++ b/io/connection/dfupeer/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/rpc"
 	"sync/atomic"
@@ -32,6 +33,13 @@
 	}
 }
 
+// retired is added to the number of waiting calls of a link that was closed for
+// being idle, so that no call can begin on it.
+const retired = math.MinInt64 / 2
+
+// writeChunk bounds one write, so that a large body shows its progress.
+const writeChunk = 64 << 10
+
 // link is one connection to a peer with the calls that wait on it. Its client is
 // never closed but through the connection: net/rpc then reports ErrShutdown only
 // for calls that were made after the end and so were never sent.
@@ -43,14 +51,18 @@
 	busySince atomic.Int64
 	lastUsed  atomic.Int64
 	pinging   atomic.Bool
+	// unanswered says that a call gave up with nothing read since it began.
+	unanswered atomic.Bool
 }
 
-// countedConn notes when bytes were last read and counts both directions.
+// countedConn notes when bytes were last read and written and counts both
+// directions.
 type countedConn struct {
 	net.Conn
-	lastRead atomic.Int64
-	failed   atomic.Bool
-	traffic  *Traffic
+	lastRead  atomic.Int64
+	lastWrite atomic.Int64
+	failed    atomic.Bool
+	traffic   *Traffic
 }
 
 // Read reads from the connection and notes the time.
@@ -66,23 +78,34 @@
 	return n, err
 }
 
-// Write writes to the connection.
+// Write writes to the connection in chunks and notes the time of each.
 func (c *countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.traffic.Written.Add(int64(n))
-	return n, err
+	written := 0
+	for {
+		n, err := c.Conn.Write(b[written:min(written+writeChunk, len(b))])
+		written += n
+		c.traffic.Written.Add(int64(n))
+		if err != nil {
+			c.failed.Store(true)
+			return written, err
+		}
+		c.lastWrite.Store(time.Now().UnixNano())
+		if written == len(b) {
+			return written, nil
+		}
+	}
 }
 
-func dial(ctx context.Context, address string, local net.IP, timing Timing, traffic *Traffic) (*link, error) {
+func dial(address string, local net.IP, timing Timing, traffic *Traffic) (*link, error) {
 	dialer := net.Dialer{Timeout: timing.Dial, LocalAddr: &net.TCPAddr{IP: local}}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := dialer.Dial("tcp", address)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "dial %s", address), ErrNotSent)
 	}
 	counted := &countedConn{Conn: conn, traffic: traffic}
 	now := time.Now().UnixNano()
 	counted.lastRead.Store(now)
-	l := &link{client: rpc.NewClient(counted), conn: counted, timing: timing}
+	l := &link{client: rpc.NewClient(&messageLimit{Conn: counted}), conn: counted, timing: timing}
 	l.lastUsed.Store(now)
 	return l, nil
 }
@@ -91,31 +114,50 @@
 // If ctx ends first and late is not nil, call returns ErrDetached and late gets
 // the call's end.
 func (l *link) call(ctx context.Context, method string, args, reply any, late func(error)) error {
-	l.begin()
+	if !l.begin() {
+		return errors.Mark(errors.New("link was idle and is closed"), ErrNotSent)
+	}
+	began := time.Now().UnixNano()
 	call := l.client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
-		l.end()
-		return callError(call.Error)
+		return l.finish(call.Error)
 	case <-ctx.Done():
 	}
 	if late == nil {
+		if l.conn.lastRead.Load() < began {
+			l.unanswered.Store(true)
+		}
 		l.end()
 		return errors.Mark(errors.Wrap(ctx.Err(), "wait for peer"), ErrLost)
 	}
 	go func() {
 		<-call.Done
-		l.end()
-		late(callError(call.Error))
+		late(l.finish(call.Error))
 	}()
 	return ErrDetached
 }
 
-// begin notes that one more call waits on the link.
-func (l *link) begin() {
-	if l.waiting.Add(1) == 1 {
+// begin notes that one more call waits on the link. It reports false if the link
+// was closed for being idle.
+func (l *link) begin() bool {
+	waiting := l.waiting.Add(1)
+	if waiting == 1 {
 		l.busySince.Store(time.Now().UnixNano())
 	}
+	return waiting > 0
+}
+
+// finish ends a call. net/rpc stops reading at an answer that it can't decode,
+// but leaves the connection open: any failure but the peer's own error ends the
+// link, so that the next call opens another.
+func (l *link) finish(err error) error {
+	l.end()
+	err = callError(err)
+	if errors.IsAny(err, ErrNotSent, ErrLost) {
+		l.close()
+	}
+	return err
 }
 
 // end notes that one call less waits on the link.
@@ -140,39 +182,64 @@
 }
 
 // sweep closes the link if it has been idle for long, and pings it if its calls
-// wait while nothing is read.
+// wait, or gave up, while nothing is read.
 func (l *link) sweep(now time.Time) {
-	if l.expired(now) {
+	if l.retire(now) {
 		l.close()
 		return
 	}
 	if l.quiet(now) && l.pinging.CompareAndSwap(false, true) {
+		l.unanswered.Store(false)
 		go l.ping()
 	}
 }
 
-func (l *link) expired(now time.Time) bool {
-	return l.waiting.Load() == 0 && now.UnixNano()-l.lastUsed.Load() > int64(l.timing.Idle)
+// retire reports whether the link has been idle for long. No call begins on it
+// from then on, so that closing it loses none.
+func (l *link) retire(now time.Time) bool {
+	return now.UnixNano()-l.lastUsed.Load() > int64(l.timing.Idle) && l.waiting.CompareAndSwap(0, retired)
 }
 
 func (l *link) quiet(now time.Time) bool {
+	if l.unanswered.Load() {
+		return true
+	}
 	since := max(l.busySince.Load(), l.conn.lastRead.Load())
 	return l.waiting.Load() > 0 && now.UnixNano()-since > int64(l.timing.Quiet)
 }
 
-// ping closes the link unless a byte comes back in time.
+// ping closes the link unless bytes move within each Silent until the ping's
+// answer comes. While the ping waits behind a large body the body's progress
+// counts, so that a peer that stopped reading is found too; once the ping is out
+// only what is read counts.
 func (l *link) ping() {
 	defer l.pinging.Store(false)
-	asked := time.Now().UnixNano()
-	call := l.client.Go("Liveness.Ping", struct{}{}, &struct{}{}, make(chan *rpc.Call, 1))
+	sent, answered := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(answered)
+		call := l.client.Go("Liveness.Ping", struct{}{}, &struct{}{}, make(chan *rpc.Call, 1))
+		close(sent)
+		<-call.Done
+	}()
 	timer := time.NewTimer(l.timing.Silent)
 	defer timer.Stop()
-	select {
-	case <-call.Done:
-	case <-timer.C:
-		if l.conn.lastRead.Load() < asked {
-			l.close()
+	for since := time.Now().UnixNano(); ; since = time.Now().UnixNano() {
+		select {
+		case <-answered:
+			return
+		case <-sent:
+			sent = nil
+		case <-timer.C:
+			moved := l.conn.lastRead.Load()
+			if sent != nil {
+				moved = max(moved, l.conn.lastWrite.Load())
+			}
+			if moved < since {
+				l.close()
+				return
+			}
 		}
+		timer.Reset(l.timing.Silent)
 	}
 }
 
--- a/io/connection/dfupeer/pool.go
+++ b/io/connection/dfupeer/pool.go
@@ -36,25 +36,30 @@
 	timing  Timing
 	local   net.IP
 	mu      sync.Mutex
-	slots   map[slotKey]*slot
+	links   map[linkKey]*link
+	opening map[linkKey]*opening
 	closed  bool
 	traffic [Bulk + 1]Traffic
 }
 
-type slotKey struct {
+type linkKey struct {
 	address dfuident.Address
 	lane    Lane
 }
 
-// slot serializes the opening of one link.
-type slot struct {
-	mu   sync.Mutex
-	link atomic.Pointer[link]
+// opening is a link that is being opened for all calls that wait for it. The
+// result is set before done is closed.
+type opening struct {
+	done chan struct{}
+	link *link
+	err  error
 }
 
+var errClosed = errors.Mark(errors.New("pool is closed"), ErrNotSent)
+
 // NewPool returns a pool without links. Links are opened from the local address.
 func NewPool(timing Timing, local net.IP) *Pool {
-	return &Pool{timing: timing, local: local, slots: map[slotKey]*slot{}}
+	return &Pool{timing: timing, local: local, links: map[linkKey]*link{}, opening: map[linkKey]*opening{}}
 }
 
 // Call makes one call on a lane to a peer. The error is marked ErrNotSent when
@@ -68,7 +73,7 @@
 // gets what Call would have returned.
 func (p *Pool) CallOrDetach(ctx context.Context, to dfuident.Address, lane Lane, method string, args, reply any, late func(error)) error {
 	for attempt := 0; ; attempt++ {
-		l, err := p.link(ctx, slotKey{to, lane})
+		l, err := p.link(ctx, linkKey{to, lane})
 		if err != nil {
 			return err
 		}
@@ -98,12 +103,9 @@
 // new one.
 func (p *Pool) Reconnect(to dfuident.Address, lane Lane) {
 	p.mu.Lock()
-	s := p.slots[slotKey{to, lane}]
+	l := p.links[linkKey{to, lane}]
 	p.mu.Unlock()
-	if s == nil {
-		return
-	}
-	if l := s.link.Load(); l != nil {
+	if l != nil {
 		l.close()
 	}
 }
@@ -113,67 +115,69 @@
 	return &p.traffic[lane]
 }
 
-// Close ends every link.
+// Close ends every link. A link that is being opened is closed once it is open.
 func (p *Pool) Close() {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.closed = true
-	slots := p.slots
-	p.slots = map[slotKey]*slot{}
-	p.mu.Unlock()
-	for _, s := range slots {
-		if l := s.link.Load(); l != nil {
-			l.close()
-		}
+	for _, l := range p.links {
+		l.close()
 	}
+	clear(p.links)
 }
 
-func (p *Pool) link(ctx context.Context, key slotKey) (*link, error) {
-	s, err := p.slot(key)
-	if err != nil {
-		return nil, err
+// link returns the open link or waits, no longer than ctx, until there is one.
+func (p *Pool) link(ctx context.Context, key linkKey) (*link, error) {
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return nil, errClosed
 	}
-	if l := s.link.Load(); l != nil && !l.ended() {
+	if l := p.links[key]; l != nil && !l.ended() {
+		p.mu.Unlock()
 		return l, nil
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if l := s.link.Load(); l != nil && !l.ended() {
-		return l, nil
+	o := p.opening[key]
+	if o == nil {
+		o = &opening{done: make(chan struct{})}
+		p.opening[key] = o
+		go p.open(key, o)
 	}
-	l, err := dial(ctx, string(key.address), p.local, p.timing, &p.traffic[key.lane])
-	if err != nil {
-		return nil, err
+	p.mu.Unlock()
+	select {
+	case <-o.done:
+		return o.link, o.err
+	case <-ctx.Done():
+		return nil, errors.Mark(errors.Wrapf(ctx.Err(), "dial %s", key.address), ErrNotSent)
 	}
-	s.link.Store(l)
-	return l, nil
 }
 
-// sweep looks after every link and forgets the slots of ended ones.
-func (p *Pool) sweep(now time.Time) {
+// open opens a link on behalf of every call that waits for it, so it does not
+// end with any one of them.
+func (p *Pool) open(key linkKey, o *opening) {
+	defer close(o.done)
+	o.link, o.err = dial(string(key.address), p.local, p.timing, &p.traffic[key.lane])
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for key, s := range p.slots {
-		l := s.link.Load()
-		switch {
-		case l == nil:
-		case l.ended():
-			delete(p.slots, key)
-		default:
-			l.sweep(now)
-		}
+	delete(p.opening, key)
+	switch {
+	case o.err != nil:
+	case p.closed:
+		o.link.close()
+		o.link, o.err = nil, errClosed
+	default:
+		p.links[key] = o.link
 	}
 }
 
-func (p *Pool) slot(key slotKey) (*slot, error) {
+// sweep looks after every link and forgets the ended ones.
+func (p *Pool) sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
-		return nil, errors.Mark(errors.New("pool is closed"), ErrNotSent)
-	}
-	s := p.slots[key]
-	if s == nil {
-		s = &slot{}
-		p.slots[key] = s
+	for key, l := range p.links {
+		l.sweep(now)
+		if l.ended() {
+			delete(p.links, key)
+		}
 	}
-	return s, nil
 }
--- a/io/connection/dfupeer/server.go
+++ b/io/connection/dfupeer/server.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -40,20 +41,28 @@
 	return errors.Wrapf(s.rpc.RegisterName(name, receiver), "register %s", name)
 }
 
+// acceptPause is how long Run waits after a connection could not be accepted,
+// for instance for want of file descriptors.
+const acceptPause = 10 * time.Millisecond
+
 // Run accepts connections until Close.
 func (s *Server) Run() {
 	for {
 		conn, err := s.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
 		if !s.track(conn) {
 			conn.Close()
 			return
 		}
 		s.wg.Go(func() {
 			defer s.untrack(conn)
-			s.rpc.ServeConn(conn)
+			s.rpc.ServeConn(&messageLimit{Conn: conn})
 		})
 	}
 }
