--- a/measure/cmd/fleet/nodes.go
+++ b/measure/cmd/fleet/nodes.go
@@ -11,7 +11,6 @@
 
 	"dragonflyusher/core/version/dfuroster"
 	"dragonflyusher/measure/fleet"
-	"dragonflyusher/standin/dfustorestandin"
 
 	"github.com/cockroachdb/errors"
 )
@@ -52,10 +51,36 @@
 	return nodes, nil
 }
 
-// calls returns the number of store calls of all kinds.
-func (o *fleetOptions) calls(ctx context.Context) (dfustorestandin.Counts, int, error) {
+// calls counts store calls by kind.
+type calls struct {
+	Gets    int `json:"gets"`
+	Lists   int `json:"lists"`
+	Watches int `json:"watches"`
+	Writes  int `json:"writes"`
+}
+
+func (c calls) total() int {
+	return c.Gets + c.Lists + c.Watches + c.Writes
+}
+
+func (c calls) minus(d calls) calls {
+	return calls{
+		Gets:    c.Gets - d.Gets,
+		Lists:   c.Lists - d.Lists,
+		Watches: c.Watches - d.Watches,
+		Writes:  c.Writes - d.Writes,
+	}
+}
+
+// calls returns the store calls so far.
+func (o *fleetOptions) calls(ctx context.Context) (calls, error) {
 	c, err := fleet.ReadCalls(ctx, o.Store)
-	return c, int(c.Get + c.List + c.Watch + c.CompareAndSwap + c.Delete + c.Lease), err
+	return calls{
+		Gets:    int(c.Get),
+		Lists:   int(c.List),
+		Watches: int(c.Watch),
+		Writes:  int(c.CompareAndSwap + c.Delete + c.Lease),
+	}, err
 }
 
 // untilAll waits until a condition holds for the pages of all nodes and
--- a/measure/cmd/fleet/rest.go
+++ b/measure/cmd/fleet/rest.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	settleTime = 15 * time.Second
+	settleTime = 30 * time.Second
 	restTime   = 20 * time.Second
 	changes    = 5
 	// changePause lets what a change has caused end.
@@ -43,11 +43,13 @@
 }
 
 type restStore struct {
-	CallsToJoin int     `json:"calls_to_join"`
-	CallsPerS   float64 `json:"calls_per_s"`
-	WatchesPerS float64 `json:"watches_per_s"`
-	CPUPercent  float64 `json:"cpu_percent"`
-	ResidentKB  int     `json:"resident_kb"`
+	ToJoin calls `json:"to_join"`
+	// Settling is from then until the fleet is taken to be at rest.
+	Settling   calls   `json:"settling"`
+	Resting    calls   `json:"resting"`
+	CallsPerS  float64 `json:"calls_per_s"`
+	CPUPercent float64 `json:"cpu_percent"`
+	ResidentKB int     `json:"resident_kb"`
 }
 
 type meanMost struct {
@@ -74,7 +76,7 @@
 		return err
 	}
 	r.JoinedMS = joined.Milliseconds()
-	if _, r.Store.CallsToJoin, err = c.calls(ctx); err != nil {
+	if r.Store.ToJoin, err = c.calls(ctx); err != nil {
 		return err
 	}
 	time.Sleep(settleTime)
@@ -93,10 +95,11 @@
 }
 
 func (c *restCommand) rest(ctx context.Context, nodes []node, r *restResult) error {
-	counts, calls, err := c.calls(ctx)
+	settled, err := c.calls(ctx)
 	if err != nil {
 		return err
 	}
+	r.Store.Settling = settled.minus(r.Store.ToJoin)
 	before, err := c.usages(nodes)
 	if err != nil {
 		return err
@@ -108,12 +111,12 @@
 		return err
 	}
 	seconds := time.Since(start).Seconds()
-	later, laterCalls, err := c.calls(ctx)
+	later, err := c.calls(ctx)
 	if err != nil {
 		return err
 	}
-	r.Store.CallsPerS = float64(laterCalls-calls) / seconds
-	r.Store.WatchesPerS = float64(later.Watch-counts.Watch) / seconds
+	r.Store.Resting = later.minus(settled)
+	r.Store.CallsPerS = float64(r.Store.Resting.total()) / seconds
 	store := len(nodes)
 	r.Store.CPUPercent = (after[store].CPU - before[store].CPU).Seconds() / seconds * 100
 	r.Store.ResidentKB = after[store].ResidentKB
--- a/measure/cmd/fleet/return.go
+++ b/measure/cmd/fleet/return.go
@@ -9,8 +9,13 @@
 	"github.com/cockroachdb/errors"
 )
 
-// countPeriod is the time between two reads of the store's counts.
-const countPeriod = 100 * time.Millisecond
+const (
+	// countPeriod is the time between two reads of the store's counts.
+	countPeriod = 100 * time.Millisecond
+	// afterTime is how long the store's calls are counted after a change,
+	// for claims move when the nodes have been unchanged for a while.
+	afterTime = 30 * time.Second
+)
 
 // returnCommand measures the return of a zone whose nodes are gone.
 type returnCommand struct {
@@ -20,16 +25,20 @@
 }
 
 type returnResult struct {
-	Nodes    int `json:"nodes"`
-	Returned int `json:"returned"`
-	// GoneMS is until all others count the zone's nodes as gone.
-	GoneMS int64 `json:"gone_ms"`
-	// KnownMS is until every node counts every node as alive again, from
-	// before the processes are started.
-	KnownMS    int64 `json:"known_ms"`
-	StoreCalls int   `json:"store_calls"`
-	// MostCallsPerS is over the worst second.
-	MostCallsPerS int `json:"most_calls_per_s"`
+	Nodes    int        `json:"nodes"`
+	Returned int        `json:"returned"`
+	Gone     transition `json:"gone"`
+	Back     transition `json:"back"`
+}
+
+// transition is what happens until every node that lives counts the same nodes
+// as alive, and in the time after.
+type transition struct {
+	KnownMS int64 `json:"known_ms"`
+	// Store counts calls until the end of the time after, MostPerS those of
+	// the worst second.
+	Store    calls `json:"store"`
+	MostPerS int   `json:"most_per_s"`
 }
 
 // Execute measures and prints.
@@ -41,47 +50,56 @@
 	}
 	rest := slices.DeleteFunc(slices.Clone(nodes), func(n node) bool { return n.place == c.Gone })
 	r := returnResult{Nodes: len(nodes), Returned: len(nodes) - len(rest)}
-	took, err := untilAll(ctx, rest, knows(len(rest)))
-	if err != nil {
+	if r.Gone, err = c.measure(ctx, rest); err != nil {
 		return err
 	}
-	r.GoneMS = took.Milliseconds()
 	if err := os.WriteFile(c.Ready, nil, 0o600); err != nil {
 		return errors.Wrap(err, "tell that the zone is gone")
 	}
+	if r.Back, err = c.measure(ctx, nodes); err != nil {
+		return err
+	}
+	return printLine(r)
+}
+
+// measure waits until the nodes know each other as alive and nobody else.
+func (c *returnCommand) measure(ctx context.Context, nodes []node) (transition, error) {
 	stop := make(chan struct{})
-	totals := make(chan []int)
-	go func() { totals <- c.count(ctx, stop) }()
-	took, err = untilAll(ctx, nodes, knows(len(nodes)))
+	counted := make(chan []calls)
+	go func() { counted <- c.count(ctx, stop) }()
+	took, err := untilAll(ctx, nodes, knows(len(nodes)))
+	if err == nil {
+		time.Sleep(afterTime)
+	}
 	close(stop)
-	counts := <-totals
+	counts := <-counted
 	if err != nil {
-		return err
+		return transition{}, err
+	}
+	if len(counts) == 0 {
+		return transition{}, errors.New("the store's counts can't be read")
 	}
-	r.KnownMS = took.Milliseconds()
-	r.StoreCalls = counts[len(counts)-1] - counts[0]
+	t := transition{KnownMS: took.Milliseconds(), Store: counts[len(counts)-1].minus(counts[0])}
 	const window = int(time.Second / countPeriod)
 	for i := range counts {
-		r.MostCallsPerS = max(r.MostCallsPerS, counts[i]-counts[max(0, i-window)])
+		t.MostPerS = max(t.MostPerS, counts[i].total()-counts[max(0, i-window)].total())
 	}
-	return printLine(r)
+	return t, nil
 }
 
-// count returns the total of store calls at every count period until it is
-// told to stop.
-func (c *returnCommand) count(ctx context.Context, stop <-chan struct{}) []int {
+// count returns the store's calls at every count period until it is told to
+// stop.
+func (c *returnCommand) count(ctx context.Context, stop <-chan struct{}) []calls {
 	ticker := time.NewTicker(countPeriod)
 	defer ticker.Stop()
-	totals := []int{}
+	var counts []calls
 	for {
-		if _, total, err := c.calls(ctx); err == nil {
-			totals = append(totals, total)
+		if now, err := c.calls(ctx); err == nil {
+			counts = append(counts, now)
 		}
 		select {
 		case <-stop:
-			if len(totals) > 0 {
-				return totals
-			}
+			return counts
 		case <-ticker.C:
 		}
 	}
--- a/measure/fleet.sh
+++ b/measure/fleet.sh
@@ -2,12 +2,14 @@
 # Starts fleets of real nodes with their targets and a store stand-in on this
 # machine, one size after another, and prints what measure/cmd/fleet measures of
 # each as JSON lines. The programs are those of `go build -o .demo/bin/ ./cmd/...
-# ./standin/cmd/... ./measure/cmd/fleet`, or of the directory in BIN.
-#   measure/fleet.sh SIZE...
+# ./standin/cmd/... ./measure/cmd/fleet`, or of the directory in BIN, on
+# addresses below NET.
+#   [BIN=DIR] [NET=127.90] measure/fleet.sh SIZE...
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin=${BIN:-.demo/bin}
-store=127.90.0.1:7000
+net=${NET:-127.90}
+store=$net.0.1:7000
 dir=$(mktemp -d)
 stop_all() {
   local pids
@@ -18,7 +20,7 @@
 trap 'stop_all; rm -rf "$dir"' EXIT
 
 # address I prints the loopback address of node I.
-address() { echo "127.90.$((1 + $1 / 200)).$((1 + $1 % 200))"; }
+address() { echo "$net.$((1 + $1 / 200)).$((1 + $1 % 200))"; }
 
 # zone I prints the zone of node I, of six in two regions.
 zone() { echo "region-$(($1 % 2))/zone-$(($1 % 6))"; }
