--- a/core/connection/dfuchoice/choice.go
+++ b/core/connection/dfuchoice/choice.go
@@ -55,6 +55,9 @@
 	// it, the target's node refuses a request that finds no free slot, so that
 	// it can be tried elsewhere.
 	Wait bool
+	// Far says that the target is in another region, whatever the reason is. A
+	// hedge is never sent there.
+	Far bool
 }
 
 // Load is what a target's node tells of its target with a refusal, or by
--- a/core/connection/dfuchoice/chooser.go
+++ b/core/connection/dfuchoice/chooser.go
@@ -242,5 +242,5 @@
 	case t.target.Place.Region == q.From.Region:
 		reason = ReasonLocalRegion
 	}
-	return Choice{Member: t.target.Member, Reason: reason}
+	return Choice{Member: t.target.Member, Reason: reason, Far: t.target.Place.Region != q.From.Region}
 }
--- a/measure/policy/entry.go
+++ b/measure/policy/entry.go
@@ -60,7 +60,7 @@
 	q := e.query(c)
 	q.Excluded = append(q.Excluded, c.live[0].worker.member.Node)
 	choice, ok := e.chooser.Choose(e.sim.clock.now.time(), q)
-	if !ok || choice.Reason != dfuchoice.ReasonLocalZone && choice.Reason != dfuchoice.ReasonLocalRegion {
+	if !ok || choice.Far {
 		return
 	}
 	if e.retries.Take(e.sim.deployment.Service, "") {
