io/connection/dfutarget: refuse answers without a length for real, mix no answers

Causes and changes, each found by a failure test over a raw fake target: - An answer without length or chunks was taken as whole: fasthttp replaces the length after it has read the body, so the check never fired. The header is now read and judged first. The same check had refused 204 without a length. - A pooled connection was reused with bytes left in its buffer, so that the next request got the bytes after the former answer as its answer. - Status 101 was taken as an answer. - An answer given before the whole body was read was dropped with the write's failure. - Headers of one connection (Connection and those that it names, Keep-Alive, Proxy-*, TE, Trailer, Upgrade) passed; Server did not; fasthttp made up a Content-Type for requests and answers without one.

--- a/io/connection/dfutarget/client.go
+++ b/io/connection/dfutarget/client.go
@@ -164,33 +164,80 @@
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	fillRequest(req, offer, remaining, string(c.address))
-	if err := req.Write(cn.w); err != nil {
-		return dfumessage.Answer{}, false, interrupted(err)
-	}
-	if err := cn.w.Flush(); err != nil {
-		return dfumessage.Answer{}, false, interrupted(err)
+	// A target may answer, and close, before it has read the whole body.
+	unsent := req.Write(cn.w)
+	if unsent == nil {
+		unsent = cn.w.Flush()
 	}
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	resp.SkipBody = offer.Method == fasthttp.MethodHead
-	if err := resp.ReadLimitBody(cn.r, int(c.answerLimit)); err != nil {
-		return dfumessage.Answer{}, false, interrupted(err)
+	resp.Header.SetNoDefaultContentType(true)
+	if err := c.readAnswer(resp, cn.r, offer.Method); err != nil {
+		return dfumessage.Answer{}, false, interrupted(errors.CombineErrors(unsent, err))
+	}
+	reusable := unsent == nil && !resp.ConnectionClose() && cn.r.Buffered() == 0
+	return copyAnswer(resp), reusable, nil
+}
+
+// fasthttp's content length of an answer in chunks, and of one that ends with
+// its connection, whose truncation can't be told from its end.
+const (
+	lengthInChunks   = -1
+	lengthUntilClose = -2
+)
+
+// interimLimit is the number of interim answers (103 and others) that may
+// precede the answer.
+const interimLimit = 16
+
+var (
+	errInterim  = errors.New("target gave no final answer")
+	errNoLength = errors.New("answer has neither a length nor chunks")
+)
+
+// readAnswer reads the final answer. fasthttp's own reading of a whole answer
+// hides whether the answer stated its length.
+func (c *Client) readAnswer(resp *fasthttp.Response, r *bufio.Reader, method string) error {
+	if err := readFinalHeader(&resp.Header, r); err != nil {
+		return err
+	}
+	status, length := resp.StatusCode(), resp.Header.ContentLength()
+	if method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+		return nil
+	}
+	if length == lengthUntilClose {
+		return errNoLength
+	}
+	if err := resp.ReadBody(r, int(c.answerLimit)); err != nil {
+		return err
 	}
-	if resp.Header.ContentLength() == lengthUntilClose && !resp.SkipBody {
-		return dfumessage.Answer{}, false, interrupted(errors.New("answer has neither a length nor chunks"))
+	if length == lengthInChunks {
+		return resp.Header.ReadTrailer(r)
 	}
-	return copyAnswer(resp), !resp.ConnectionClose(), nil
+	return nil
 }
 
-// lengthUntilClose is fasthttp's content length of an answer that ends with its
-// connection, whose truncation can't be told from its end.
-const lengthUntilClose = -2
+func readFinalHeader(h *fasthttp.ResponseHeader, r *bufio.Reader) error {
+	for range interimLimit {
+		if err := h.Read(r); err != nil {
+			return err
+		}
+		if h.StatusCode() >= fasthttp.StatusOK {
+			return nil
+		}
+		if h.StatusCode() == fasthttp.StatusSwitchingProtocols {
+			break
+		}
+	}
+	return errInterim
+}
 
 func interrupted(err error) error {
 	return errors.Mark(errors.Wrap(err, "exchange with target"), ErrInterrupted)
 }
 
 func fillRequest(req *fasthttp.Request, offer *dfumessage.Offer, remaining dfuclock.Duration, host string) {
+	req.Header.SetNoDefaultContentType(true)
 	req.Header.SetMethod(offer.Method)
 	req.SetRequestURI(offer.URI)
 	req.Header.SetHost(host)
@@ -212,22 +259,17 @@
 // copyAnswer copies what outlives the pooled response.
 func copyAnswer(resp *fasthttp.Response) dfumessage.Answer {
 	answer := dfumessage.Answer{Status: resp.StatusCode(), Body: append([]byte(nil), resp.Body()...)}
+	hops := Hops(resp.Header.All())
 	for name, value := range resp.Header.All() {
-		if isForwarded(string(name)) {
+		if isForwarded(string(name)) && !hops.Has(string(name)) {
 			answer.Headers = append(answer.Headers, dfumessage.Header{Name: string(name), Value: string(value)})
 		}
 	}
 	return answer
 }
 
-// isForwarded reports whether a header concerns the message rather than one
-// connection.
+// isForwarded reports whether a header goes back as it is; fasthttp writes the
+// others itself.
 func isForwarded(name string) bool {
-	switch name {
-	case fasthttp.HeaderConnection, fasthttp.HeaderContentLength, fasthttp.HeaderTransferEncoding,
-		fasthttp.HeaderKeepAlive, fasthttp.HeaderDate, fasthttp.HeaderServer:
-		return false
-	default:
-		return true
-	}
+	return name != fasthttp.HeaderContentLength && name != fasthttp.HeaderDate
 }
--- /dev/null
+++ b/io/connection/dfutarget/hop.go
@@ -0,0 +1,43 @@
+package dfutarget
+
+import (
+	"iter"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+)
+
+// HopNames are the header names that a message's own Connection fields list.
+type HopNames []string
+
+// Hops returns the names that the Connection fields among fields list.
+func Hops(fields iter.Seq2[[]byte, []byte]) HopNames {
+	var names HopNames
+	for name, value := range fields {
+		if string(name) != fasthttp.HeaderConnection {
+			continue
+		}
+		for token := range strings.SplitSeq(string(value), ",") {
+			names = append(names, strings.TrimSpace(token))
+		}
+	}
+	return names
+}
+
+// Has reports whether a header concerns one connection rather than the message,
+// by HTTP or by the message's own word.
+func (h HopNames) Has(name string) bool {
+	switch name {
+	case fasthttp.HeaderConnection, fasthttp.HeaderKeepAlive, fasthttp.HeaderProxyConnection,
+		fasthttp.HeaderProxyAuthenticate, fasthttp.HeaderProxyAuthorization, "Te",
+		fasthttp.HeaderTrailer, fasthttp.HeaderTransferEncoding, fasthttp.HeaderUpgrade:
+		return true
+	default:
+	}
+	for _, hop := range h {
+		if strings.EqualFold(hop, name) {
+			return true
+		}
+	}
+	return false
+}
