--- a/io/process/dfucontrol/duty_test.go
+++ b/io/process/dfucontrol/duty_test.go
@@ -30,6 +30,7 @@
 	// lose makes that many writes take effect without a reply.
 	lose     int
 	writes   int
+	gets     int
 	revision dfuident.Revision
 	records  map[string]dfustore.Record
 }
@@ -57,6 +58,7 @@
 	if s.down {
 		return dfustore.Record{}, dfustore.ErrUnavailable
 	}
+	s.gets++
 	return s.records[key], nil
 }
 
@@ -113,6 +115,13 @@
 	return s.revision, nil
 }
 
+// getCount returns how often a page was read to be written.
+func (s *fakeStore) getCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gets
+}
+
 // page returns the nodes that a zone's page lists, and the writes so far.
 func (s *fakeStore) page(t *testing.T, key string) (nodes []dfuident.Member, writes int) {
 	t.Helper()
@@ -161,7 +170,7 @@
 func (f *fleet) startAt(i int, wall func() time.Time) (*dfucontrol.Duty, func()) {
 	cfg := dfucontrol.DefaultConfig()
 	cfg.PagePeriod = 100 * dfuclock.Millisecond
-	cfg.Membership.DeadRetention = 2 * dfuclock.Second
+	cfg.Membership.DeadRetention = 5 * dfuclock.Second
 	cfg.Node = dfuident.NodeID(fmt.Sprintf("vm-%d", i))
 	cfg.Place = dfuident.Place{Region: "sued", Zone: dfuident.Zone(fmt.Sprintf("sued-%c", 'a'+i%2))}
 	cfg.Peer = dfuident.Address(fmt.Sprintf("127.0.0.1:%d", 7000+i))
@@ -285,6 +294,8 @@
 		return n.State == dfuroster.Left
 	})
 	end()
+	read := f.store.getCount()
+	f.wait("the bridge has looked after the page", func() bool { return f.store.getCount() >= read+2 })
 	again, endAgain := f.startAt(0, func() time.Time { return time.Now().Add(-time.Hour) })
 	f.wait("both see each other again", allAlive([]*dfucontrol.Duty{again, second}, 2))
 	is.Equal(again.Member().Incarnation, before.Incarnation+1)
