--- a/core/connection/dfuchoice/chooser.go
+++ b/core/connection/dfuchoice/chooser.go
@@ -25,6 +25,10 @@
 type Settings struct {
 	Policy Policy
 	Delays Delays
+	// LinkBytesPerMillisecond prices the link between regions: so many bytes
+	// over it are worth a millisecond of latency. Fewer save bytes, more save
+	// latency.
+	LinkBytesPerMillisecond dfuident.Bytes
 }
 
 // DefaultSettings returns the settings of a node in production.
@@ -32,6 +36,8 @@
 	return Settings{
 		Policy: LateBinding{Draws: 3},
 		Delays: Delays{SameZone: 0, SameRegion: 1, FarRegion: 8},
+
+		LinkBytesPerMillisecond: 1000,
 	}
 }
 
--- a/core/connection/dfuchoice/response.go
+++ b/core/connection/dfuchoice/response.go
@@ -104,7 +104,7 @@
 // it would miss its deadline.
 func (c *Chooser) spills(now dfuclock.Time, q Query, state *serviceState, own, far []*targetState) bool {
 	distance := 2 * float64(c.settings.Delays.FarRegion-c.settings.Delays.SameRegion)
-	if state.spill.crosses(now, q, distance, c.rng) {
+	if state.spill.crosses(now, q, distance, c.price(q), c.rng) {
 		return true
 	}
 	best := c.cheapest(now, q, own, len(own))
@@ -113,7 +113,7 @@
 		crossing = max(crossing, seen+2*float64(c.settings.Delays.FarRegion))
 	}
 	gain := c.cost(now, q, best) - crossing
-	if slices.Contains(q.Refused, best.target.Member.Node) && gain > price(q) {
+	if slices.Contains(q.Refused, best.target.Member.Node) && gain > c.price(q) {
 		return true
 	}
 	return gain > 0 && c.cost(now, q, best) > deadlineShare*float64(q.Remaining)
--- a/core/connection/dfuchoice/spill.go
+++ b/core/connection/dfuchoice/spill.go
@@ -4,14 +4,10 @@
 	"math/rand/v2"
 
 	"dragonflyusher/core/process/dfuclock"
-	"dragonflyusher/core/process/dfuident"
 )
 
 // Parameters of crossing the link between regions.
 const (
-	// bytesPerMillisecond prices the link: so many bytes are worth a
-	// millisecond of latency.
-	bytesPerMillisecond dfuident.Bytes = 1000
 	// spillGain and returnGain are the gains in milliseconds above which a
 	// greater share crosses, and below which a smaller one does.
 	spillGain, returnGain = 10.0, 3.0
@@ -51,17 +47,17 @@
 }
 
 // crosses draws whether a request goes to the far region, whose network takes
-// the given time longer.
-func (s *spill) crosses(now dfuclock.Time, q Query, distance float64, rng *rand.Rand) bool {
+// the distance longer, and whose bytes are worth the price.
+func (s *spill) crosses(now dfuclock.Time, q Query, distance, price float64, rng *rand.Rand) bool {
 	if now.Sub(s.adjusted) >= spillInterval {
-		s.adjust(now, q, distance)
+		s.adjust(now, q, distance, price)
 	}
 	return s.share > 0 && rng.Float64() < s.share
 }
 
 // adjust moves the share by one step. Without recent answers the far region is
 // taken to be as good as an own one without load.
-func (s *spill) adjust(now dfuclock.Time, q Query, distance float64) {
+func (s *spill) adjust(now dfuclock.Time, q Query, distance, price float64) {
 	s.adjusted = now
 	far, ok := s.farLatency(now)
 	if !ok {
@@ -69,7 +65,7 @@
 	}
 	gain := s.own - far - distance
 	if s.own < deadlineShare*float64(q.Remaining) {
-		gain -= price(q)
+		gain -= price
 	}
 	switch {
 	case gain > spillGain:
@@ -87,8 +83,8 @@
 
 // price returns what the bytes of a request over the link are worth, in
 // milliseconds of latency.
-func price(q Query) float64 {
-	return float64(q.Body) / float64(bytesPerMillisecond)
+func (c *Chooser) price(q Query) float64 {
+	return float64(q.Body) / float64(max(c.settings.LinkBytesPerMillisecond, 1))
 }
 
 // blend returns a region's moving average with a new latency.
