io/connection/dfufront: refuse ambiguous requests, outlive failed accepts

Causes and changes, found by failure tests over raw connections: - A failed accept (no file descriptors) ended fasthttp's serving for good; the listener now waits and tries again until it is closed. - Two values of a deciding header (service, key, deadline, allowance, caller) were taken by the first one; they are refused. - A body that fasthttp itself finds too large was told as bad_request. - Headers of one connection went on to the target; a target's own Dragonflyusher-Outcome and the like reached the caller beside the node's. - An answer without Content-Type got one made up. Decided: a caller that closes only its sending side counts as gone.

--- a/io/connection/dfufront/conn.go
+++ b/io/connection/dfufront/conn.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // listener hands fasthttp connections whose end can be watched.
@@ -11,18 +13,30 @@
 	net.Listener
 }
 
-// Accept waits for the next connection.
+// acceptPause is how long Accept waits after a connection could not be accepted,
+// for instance for want of file descriptors.
+const acceptPause = 10 * time.Millisecond
+
+// Accept waits for the next connection. It fails only once the listener is
+// closed, because fasthttp stops serving at the first failure.
 func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err == nil {
+			return &conn{Conn: c}, nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return nil, err
+		}
+		time.Sleep(acceptPause)
 	}
-	return &conn{Conn: c}, nil
 }
 
 // conn is a caller's connection. fasthttp reads nothing while a handler runs,
 // so a read in the background finds out when the caller goes away. A byte that
-// it gets meanwhile belongs to the caller's next request and is kept for it.
+// it gets meanwhile belongs to the caller's next request and is kept for it; the
+// caller's leave is then noticed only when the answer is written. A caller that
+// closes only its sending side counts as gone: the two can't be told apart.
 type conn struct {
 	net.Conn
 	mu     sync.Mutex
--- a/io/connection/dfufront/front.go
+++ b/io/connection/dfufront/front.go
@@ -84,6 +84,7 @@
 		MaxRequestBodySize:    int(bodyLimit),
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
+		NoDefaultContentType:  true,
 		Logger:                silentLogger{},
 		CloseOnShutdown:       true,
 	}
@@ -134,6 +135,9 @@
 		Headers:     copyHeaders(h),
 		Body:        append([]byte(nil), ctx.Request.Body()...),
 	}
+	if err := checkSingle(h); err != nil {
+		return Call{}, err
+	}
 	if call.Service == "" {
 		return Call{}, errors.Newf("header %s is missing", HeaderService)
 	}
@@ -155,6 +159,17 @@
 	return call, nil
 }
 
+// checkSingle refuses a request with two values of a header that decides about
+// it: two readers could take one each.
+func checkSingle(h *fasthttp.RequestHeader) error {
+	for _, name := range []string{HeaderService, HeaderCaller, dfutarget.HeaderKey, dfutarget.HeaderDeadline, dfutarget.HeaderAllowance} {
+		if len(h.PeekAll(name)) > 1 {
+			return errors.Newf("header %s is given more than once", name)
+		}
+	}
+	return nil
+}
+
 func parseNumber(h *fasthttp.RequestHeader, name string) (int64, error) {
 	text := string(h.Peek(name))
 	if text == "" {
@@ -170,8 +185,9 @@
 // copyHeaders returns the fields that go on to the target.
 func copyHeaders(h *fasthttp.RequestHeader) []dfumessage.Header {
 	var headers []dfumessage.Header
+	hops := dfutarget.Hops(h.All())
 	for name, value := range h.All() {
-		if isForwarded(string(name)) {
+		if isForwarded(string(name)) && !hops.Has(string(name)) {
 			headers = append(headers, dfumessage.Header{Name: string(name), Value: string(value)})
 		}
 	}
@@ -184,8 +200,7 @@
 	switch name {
 	case HeaderService, dfutarget.HeaderDeadline, dfutarget.HeaderKey, dfutarget.HeaderTraceparent,
 		dfutarget.HeaderAllowance, dfutarget.HeaderRequestID,
-		fasthttp.HeaderConnection, fasthttp.HeaderContentLength, fasthttp.HeaderHost,
-		fasthttp.HeaderTransferEncoding, fasthttp.HeaderKeepAlive, fasthttp.HeaderExpect:
+		fasthttp.HeaderContentLength, fasthttp.HeaderHost, fasthttp.HeaderExpect:
 		return false
 	default:
 		return true
@@ -218,7 +233,9 @@
 	if r.Outcome == dfuoutcome.Answered {
 		ctx.SetStatusCode(r.Answer.Status)
 		for _, h := range r.Answer.Headers {
-			ctx.Response.Header.Add(h.Name, h.Value)
+			if !isOwn(h.Name) {
+				ctx.Response.Header.Add(h.Name, h.Value)
+			}
 		}
 		ctx.Response.SetBodyRaw(r.Answer.Body)
 	} else {
@@ -241,6 +258,17 @@
 	}
 }
 
+// isOwn reports whether the node alone states a header of the answer: a target
+// that passes on the answer to a call of its own may have it too.
+func isOwn(name string) bool {
+	switch name {
+	case HeaderOutcome, HeaderReason, HeaderTarget, HeaderAttempts, dfutarget.HeaderRequestID:
+		return true
+	default:
+		return false
+	}
+}
+
 func writeRefusal(ctx *fasthttp.RequestCtx, r Result) {
 	ctx.SetStatusCode(status(r))
 	ctx.SetContentType("application/json")
@@ -258,10 +286,11 @@
 
 // refuseMalformed answers a request that could not be read as HTTP.
 func refuseMalformed(ctx *fasthttp.RequestCtx, err error) {
-	writeResult(ctx, Result{Outcome: dfuoutcome.NotRun, Reason: dfuoutcome.ReasonBadRequest, Detail: err.Error()})
+	reason := dfuoutcome.ReasonBadRequest
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-		ctx.SetStatusCode(fasthttp.StatusRequestEntityTooLarge)
+		reason = dfuoutcome.ReasonBodyTooLarge
 	}
+	writeResult(ctx, Result{Outcome: dfuoutcome.NotRun, Reason: reason, Detail: err.Error()})
 }
 
 // silentLogger drops fasthttp's own lines, which are not JSON; the outcome of
