io/process/dfulog: write lists of errors without stacks too

Cause: zap keeps a list of errors in an array type of its own, which wrote each error with its stack and the paths of the machine that built the program; and the caller's slice of fields was changed in place, which is a data race for one that is used twice. Lists become their messages, and the fields are copied. Proof: TestLog failed before on the list (errorVerbose in the line). go test -race -count=5 green.

--- a/io/process/dfulog/log.go
+++ b/io/process/dfulog/log.go
@@ -1,6 +1,8 @@
 package dfulog
 
 import (
+	"reflect"
+
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -52,11 +54,41 @@
 	return c.Core.Write(entry, plain(fields))
 }
 
+// plain returns fields with errors as their messages; fields itself belongs to
+// the caller, who may use it again.
 func plain(fields []zapcore.Field) []zapcore.Field {
+	replaced := make([]zapcore.Field, len(fields))
 	for i, f := range fields {
-		if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
-			fields[i] = zap.String(f.Key, err.Error())
+		replaced[i] = plainField(f)
+	}
+	return replaced
+}
+
+func plainField(f zapcore.Field) zapcore.Field {
+	if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
+		return zap.String(f.Key, err.Error())
+	}
+	if f.Type != zapcore.ArrayMarshalerType {
+		return f
+	}
+	// zap keeps a list of errors in a type of its own.
+	list, ok := reflect.TypeAssert[[]error](convertible(f.Interface))
+	if !ok {
+		return f
+	}
+	var messages []string
+	for _, err := range list {
+		if err != nil {
+			messages = append(messages, err.Error())
 		}
 	}
-	return fields
+	return zap.Strings(f.Key, messages)
+}
+
+func convertible(list any) reflect.Value {
+	v := reflect.ValueOf(list)
+	if errorList := reflect.TypeFor[[]error](); v.CanConvert(errorList) {
+		return v.Convert(errorList)
+	}
+	return v
 }
