core/connection/dfuchoice: leave targets with a full queue to the last

A request that waits could be sent to a target that had refused it for a full queue before, and run out of attempts. One that stands twice in Query.Refused, after looking and after waiting, is now only chosen if all others stand there twice as well.

--- a/core/connection/dfuchoice/choice.go
+++ b/core/connection/dfuchoice/choice.go
@@ -20,7 +20,8 @@
 	// Excluded lists targets that have refused or failed the request already.
 	Excluded []dfuident.NodeID
 	// Refused lists those of Excluded whose node refused the request for want
-	// of a free slot. They are chosen again when waiting there costs least.
+	// of a free slot, once for each refusal. They are chosen again when waiting
+	// there costs least.
 	Refused []dfuident.NodeID
 	// Attempt counts the earlier attempts of the request.
 	Attempt int
--- a/core/connection/dfuchoice/response.go
+++ b/core/connection/dfuchoice/response.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
 )
 
 // spread is the part of a cost that is random, so that many entry nodes with
@@ -84,20 +85,41 @@
 }
 
 // addRefused adds the targets of the own region that refused the request for
-// want of a free slot, if it is to wait in a queue now.
+// want of a free slot, if it is to wait in a queue now. Those that refused it
+// twice, and so have a full queue, come last.
 func (c *Chooser) addRefused(q Query, state *serviceState, own []*targetState, wait bool) []*targetState {
 	if !wait || len(q.Refused) == 0 {
 		return own
 	}
+	var full []*targetState
 	for _, t := range state.targets {
-		if t.target.Place.Region == q.From.Region && !t.target.Draining && t.health.state == healthy &&
-			slices.Contains(q.Refused, t.target.Member.Node) {
+		if t.target.Place.Region != q.From.Region || t.target.Draining || t.health.state != healthy {
+			continue
+		}
+		switch times := occurrences(q.Refused, t.target.Member.Node); {
+		case times == 1:
 			own = append(own, t)
+		case times > 1:
+			full = append(full, t)
 		}
 	}
+	if len(own) == 0 {
+		return full
+	}
 	return own
 }
 
+// occurrences returns how often a node stands in a list.
+func occurrences(nodes []dfuident.NodeID, node dfuident.NodeID) int {
+	n := 0
+	for _, other := range nodes {
+		if other == node {
+			n++
+		}
+	}
+	return n
+}
+
 // spills decides whether a request crosses the link though its own region has
 // a target for it: because a share of them does, because the targets of its
 // own region refused it and waiting there costs more than crossing, or because
