io/connection/dfupeer: let no caller wait for a bulk body's write beyond its ctx

Cause: net/rpc writes a call in its caller's goroutine, so CallOrDetach returned only once the whole body, and any body before it, was written. On the bulk lane a goroutine writes now; on the small lanes the ping bounds the wait. Proof: without it TestStuckBulkDoesNotDelaySmall hangs (60 s limit). go test -race -count=5 green.

--- a/io/connection/dfupeer/failure_test.go
+++ b/io/connection/dfupeer/failure_test.go
@@ -315,13 +315,18 @@
 	b.is.NoErr(b.call(b.ctx, Small, "Echo.Say", []byte("a")))
 }
 
+// A body that is stuck holds up neither its own caller nor the small lane.
 func TestStuckBulkDoesNotDelaySmall(t *testing.T) {
 	timing := shortTiming
 	timing.Quiet, timing.Silent = time.Hour, time.Hour
 	b := newBed(t, timing, stuck)
-	stuck := make(chan error, 1)
-	go func() { stuck <- b.call(b.ctx, Bulk, "Echo.Say", make([]byte, 32<<20)) }()
-	b.until(func() bool { return b.net.seen.Load() == 1 })
+	stuck := make(chan error, 2)
+	_, err := b.pool.link(b.ctx, linkKey{b.address(), Bulk})
+	b.is.NoErr(err)
+	ctx, cancel := context.WithCancel(b.ctx)
+	time.AfterFunc(20*time.Millisecond, cancel)
+	err = b.pool.CallOrDetach(ctx, b.address(), Bulk, "Echo.Say", make([]byte, 32<<20), new(int), func(err error) { stuck <- err })
+	b.is.True(errors.Is(err, ErrDetached))
 	b.is.NoErr(b.call(b.ctx, Small, "Echo.Say", []byte("a")))
 	b.is.Equal(len(stuck), 0)
 	b.pool.Reconnect(b.address(), Bulk)
--- a/io/connection/dfupeer/link.go
+++ b/io/connection/dfupeer/link.go
@@ -44,9 +44,11 @@
 // never closed but through the connection: net/rpc then reports ErrShutdown only
 // for calls that were made after the end and so were never sent.
 type link struct {
-	client    *rpc.Client
-	conn      *countedConn
-	timing    Timing
+	client *rpc.Client
+	conn   *countedConn
+	timing Timing
+	// bulk says that writing a call may take long, so that no caller does it.
+	bulk      bool
 	waiting   atomic.Int64
 	busySince atomic.Int64
 	lastUsed  atomic.Int64
@@ -118,9 +120,14 @@
 		return errors.Mark(errors.New("link was idle and is closed"), ErrNotSent)
 	}
 	began := time.Now().UnixNano()
-	call := l.client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	done := make(chan *rpc.Call, 1)
+	if l.bulk {
+		go l.client.Go(method, args, reply, done)
+	} else {
+		l.client.Go(method, args, reply, done)
+	}
 	select {
-	case <-call.Done:
+	case call := <-done:
 		return l.finish(call.Error)
 	case <-ctx.Done():
 	}
@@ -132,7 +139,7 @@
 		return errors.Mark(errors.Wrap(ctx.Err(), "wait for peer"), ErrLost)
 	}
 	go func() {
-		<-call.Done
+		call := <-done
 		late(l.finish(call.Error))
 	}()
 	return ErrDetached
--- a/io/connection/dfupeer/pool.go
+++ b/io/connection/dfupeer/pool.go
@@ -70,7 +70,8 @@
 
 // CallOrDetach is Call for a caller that must not wait beyond ctx but still
 // needs the end of the call: if ctx ends first it returns ErrDetached, and late
-// gets what Call would have returned.
+// gets what Call would have returned. On the bulk lane args may still be read
+// after the return.
 func (p *Pool) CallOrDetach(ctx context.Context, to dfuident.Address, lane Lane, method string, args, reply any, late func(error)) error {
 	for attempt := 0; ; attempt++ {
 		l, err := p.link(ctx, linkKey{to, lane})
@@ -157,6 +158,9 @@
 func (p *Pool) open(key linkKey, o *opening) {
 	defer close(o.done)
 	o.link, o.err = dial(string(key.address), p.local, p.timing, &p.traffic[key.lane])
+	if o.err == nil {
+		o.link.bulk = key.lane == Bulk
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.opening, key)
