--- a/measure/fleet.sh
+++ b/measure/fleet.sh
@@ -64,7 +64,7 @@
   for ((i = 0; i < n; i++)); do
     write_settings "$i"
     start_node "$i"
-    "$bin/targetstandin" --name "vm-$i" --service "service-$((i % services))" \
+    "$bin/targetstandin" --name "vm-$i" --service "service-$((i / 6 % services))" \
       --node "$(address "$i"):7100" --effects "$dir/effects-$i" >>"$dir/out" 2>>"$dir/log" &
   done
   list_nodes "$n"
