io/request/dfuclaimer: claim for non-idempotent services only, end claims with a superseded run

Cause: a node made a claim table for its target's service whatever the entry said, 120 tables in place of a few; the entry's key_window_ms reached nobody; a run whose node was started again kept its claims, though the later run's evidence rule relies on its end. Ruled out: letting the superseded run drain first with its claims. Change: the machine starts once the entry says non_idempotent; EntryChanged carries the window; a superseded run ends its claims at once, drains and exits with an error. The duty's test now has an entry that says non_idempotent: without one its claims would wait for ever, which is how it hung.

--- a/core/request/dfuclaim/event.go
+++ b/core/request/dfuclaim/event.go
@@ -65,10 +65,14 @@
 	Nodes []Node
 }
 
-// EpochChanged gives the claim_epoch of the service's catalogue entry. By
-// raising it an operator vouches that shard holders that look dead have ended.
-type EpochChanged struct {
+// EntryChanged gives what the service's catalogue entry says of claims.
+type EntryChanged struct {
+	// Epoch is the claim_epoch. By raising it an operator vouches that shard
+	// holders that look dead have ended.
 	Epoch uint64
+	// Window is how long after its birth a key's record is kept; zero leaves
+	// it as it was.
+	Window dfuclock.Duration
 }
 
 // WriteResult reports what became of the outstanding WriteTable.
@@ -108,7 +112,7 @@
 func (TableSeen) event()     {}
 func (ReadFailed) event()    {}
 func (RosterChanged) event() {}
-func (EpochChanged) event()  {}
+func (EntryChanged) event()  {}
 func (WriteResult) event()   {}
 func (Leaving) event()       {}
 func (Tick) event()          {}
--- a/core/request/dfuclaim/machine.go
+++ b/core/request/dfuclaim/machine.go
@@ -1,6 +1,7 @@
 package dfuclaim
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 
@@ -69,8 +70,9 @@
 		m.store.readFailed(now)
 	case RosterChanged:
 		m.onRoster(e)
-	case EpochChanged:
+	case EntryChanged:
 		m.epoch = max(m.epoch, e.Epoch)
+		m.cfg.Window = cmp.Or(e.Window, m.cfg.Window)
 	case WriteResult:
 		m.onWriteResult(e)
 	case Leaving:
--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -48,6 +48,9 @@
 	leaveWait = 300 * time.Millisecond
 )
 
+// errSuperseded ends a run whose node has been started again elsewhere.
+var errSuperseded = errors.New("a later run of this node lives")
+
 // Node is one node of the system.
 type Node struct {
 	settings dfusettings.Settings
@@ -64,6 +67,8 @@
 	control  *dfucontrol.Duty
 	front    *dfufront.Front
 	started  atomic.Pointer[started]
+	// superseded ends when a later run of this node is found to live.
+	superseded chan struct{}
 }
 
 // started holds the duties that need the node's incarnation.
@@ -79,11 +84,12 @@
 // New opens the node's listeners and prepares its duties.
 func New(ctx context.Context, settings dfusettings.Settings, log *zap.Logger, level zap.AtomicLevel) (*Node, error) {
 	n := &Node{
-		settings: settings,
-		log:      log,
-		level:    level,
-		clock:    dfuclock.New(),
-		metrics:  metrics.NewRegistry(),
+		settings:   settings,
+		log:        log,
+		level:      level,
+		clock:      dfuclock.New(),
+		metrics:    metrics.NewRegistry(),
+		superseded: make(chan struct{}),
 	}
 	if err := n.listen(ctx); err != nil {
 		return nil, err
@@ -146,6 +152,8 @@
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
+	case <-n.superseded:
+		err = errSuperseded
 	}
 	n.leave(s)
 	err = errors.CombineErrors(err, n.front.Close())
@@ -160,6 +168,20 @@
 	return errors.CombineErrors(err, n.tracer.Close(context.Background()))
 }
 
+// untilSuperseded returns a context that ends with life, or at once when a later
+// run of this node lives: that run's claims rely on the end of this one's.
+func (n *Node) untilSuperseded(life context.Context) context.Context {
+	ctx, cancel := context.WithCancel(life)
+	go func() {
+		defer cancel()
+		select {
+		case <-n.superseded:
+		case <-life.Done():
+		}
+	}()
+	return ctx
+}
+
 func (n *Node) listen(ctx context.Context) error {
 	var cfg net.ListenConfig
 	callers, err := cfg.Listen(ctx, "tcp", string(n.settings.Listen.HTTP))
@@ -183,13 +205,14 @@
 	cfg.HTTP = cmp.Or(n.settings.Advertise.HTTP, callers)
 	cfg.Peer = cmp.Or(n.settings.Advertise.Peer, peers)
 	return dfucontrol.New(cfg, dfucontrol.Deps{
-		Store:   n.store,
-		Caller:  controlCaller{n.pool},
-		Clock:   n.clock,
-		Wall:    time.Now,
-		Rand:    newRand(),
-		Log:     n.log,
-		Publish: n.publish,
+		Store:      n.store,
+		Caller:     controlCaller{n.pool},
+		Clock:      n.clock,
+		Wall:       time.Now,
+		Rand:       newRand(),
+		Log:        n.log,
+		Publish:    n.publish,
+		Superseded: sync.OnceFunc(func() { close(n.superseded) }),
 	})
 }
 
@@ -223,7 +246,7 @@
 		n.log.Error("register receivers", zap.Error(err))
 		return nil
 	}
-	wg.Go(func() { s.claims.Run(life) })
+	wg.Go(func() { s.claims.Run(n.untilSuperseded(life)) })
 	wg.Go(func() { s.news.run(life) })
 	wg.Go(n.server.Run)
 	wg.Go(func() { s.target.run(life.Done()) })
--- a/io/request/dfuclaimer/duty_test.go
+++ b/io/request/dfuclaimer/duty_test.go
@@ -12,6 +12,7 @@
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/request/dfuclaim"
 	"dragonflyusher/core/request/dfuoutcome"
+	"dragonflyusher/core/version/dfucatalogue"
 	"dragonflyusher/core/version/dfuroster"
 	"dragonflyusher/io/connection/dfupeer"
 	"dragonflyusher/io/process/dfustore"
@@ -82,6 +83,8 @@
 
 func newFleet(t *testing.T) *fleet {
 	f := &fleet{t: t, store: &memoryStore{}, view: dfuroster.New(), duties: map[dfuident.NodeID]*dfuclaimer.Duty{}}
+	entry := dfuroster.Entry{Entry: dfucatalogue.Entry{Service: service, NonIdempotent: true}, Revision: 1}
+	f.view = f.view.Apply(dfuroster.Change{Entries: map[dfuident.Service]*dfuroster.Entry{service: &entry}})
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	t.Cleanup(func() {
--- a/io/request/dfuclaimer/loop.go
+++ b/io/request/dfuclaimer/loop.go
@@ -61,8 +61,9 @@
 // takeView gives the machine what a view says of its service.
 func (l *loop) takeView(view *dfuroster.View) {
 	service, ok := l.Duty.service()
+	entry, _, known := view.Entry(service)
 	switch {
-	case !ok && l.machine == nil:
+	case l.machine == nil && !(ok && known && entry.NonIdempotent):
 		return
 	case l.machine == nil:
 		l.service = service
@@ -72,8 +73,8 @@
 			zap.String("service", string(service)), zap.String("claims", string(l.service)))
 	}
 	l.step(dfuclaim.RosterChanged{Nodes: rosterOf(view, l.service)})
-	if e, _, ok := view.Entry(l.service); ok {
-		l.step(dfuclaim.EpochChanged{Epoch: e.ClaimEpoch})
+	if known {
+		l.step(dfuclaim.EntryChanged{Epoch: entry.ClaimEpoch, Window: entry.KeyWindow})
 	}
 	if revision, table, ok := l.tables.get(view, l.service); ok && revision > l.seen {
 		l.seen = revision
