io/process/dfunode: wait for settled claims and for the word that a node left

Answers not_run carried no request id, so that audit compared nothing between real processes. Change: a stopping node stays 1.5 s to tell that it left; orders and orders_outage first wait until the claim table has been still for 4 s; an outcome that is not answered names its last attempt. Conclusion: a planned stop of an owner whose copy holder is not up to date, during an outage, still costs its shards not_run until the store is back.

--- a/io/process/dfunode/fleet_test.go
+++ b/io/process/dfunode/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -22,6 +23,7 @@
 
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/io/process/dfusettings"
+	"dragonflyusher/io/process/dfustore"
 	"dragonflyusher/standin/dfucallerstandin"
 	"dragonflyusher/standin/dfurelaystandin"
 	"dragonflyusher/standin/dfutargetstandin"
@@ -36,6 +38,9 @@
 // bound of a promise: those are decided by the virtual clock of core.
 const patience = 30 * time.Second
 
+// settleTime is how long a claim table stays as it is once it has settled.
+const settleTime = 4 * time.Second
+
 // root is the path of the repository from this package.
 const root = "../../.."
 
@@ -80,6 +85,7 @@
 			"call":       func(ts *testscript.TestScript, _ bool, args []string) { of(ts).call(args) },
 			"background": func(ts *testscript.TestScript, _ bool, args []string) { of(ts).background(args) },
 			"joined":     func(ts *testscript.TestScript, _ bool, _ []string) { of(ts).joined() },
+			"settle":     func(ts *testscript.TestScript, _ bool, args []string) { of(ts).settle(args[0]) },
 			"persist":    func(ts *testscript.TestScript, _ bool, args []string) { of(ts).persist(args) },
 			"calls":      func(ts *testscript.TestScript, _ bool, args []string) { of(ts).calls(args) },
 			"signal":     func(ts *testscript.TestScript, _ bool, args []string) { of(ts).signal(args[0], args[1:]) },
@@ -344,6 +350,25 @@
 	return f.keys[name]
 }
 
+// settle waits until the claim table of a service has not changed for a while,
+// so that each shard has a copy holder that is up to date.
+func (f *fleet) settle(service string) {
+	client := dfustore.New(dfustore.Config{Address: dfuident.Address("127." + f.test + ".0.1:7000")})
+	defer client.Close()
+	var last dfuident.Revision
+	quiet := time.Now()
+	for deadline := time.Now().Add(patience); time.Since(quiet) < settleTime; time.Sleep(100 * time.Millisecond) {
+		record, err := client.Get(context.Background(), dfustore.ClaimsKey(dfuident.Service(service)))
+		f.ts.Check(err)
+		if record.Revision != last {
+			last, quiet = record.Revision, time.Now()
+		}
+		if time.Now().After(deadline) {
+			f.ts.Fatalf("the claims of %s don't settle", service)
+		}
+	}
+}
+
 // call makes one call: "call NODE SERVICE URI [key=NAME] [deadline=MS]
 // [abandon=MS] [header=NAME:VALUE] [body=BYTES] [reason=any]".
 func (f *fleet) call(args []string) {
--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -45,7 +45,7 @@
 	// handOverWait bounds the handing over of claims by a stopping node.
 	handOverWait = 2 * time.Second
 	// leaveWait is how long a stopping node stays to tell others that it left.
-	leaveWait = 300 * time.Millisecond
+	leaveWait = 1500 * time.Millisecond
 )
 
 // errSuperseded ends a run whose node has been started again elsewhere.
--- a/io/request/dfuclaimer/loop.go
+++ b/io/request/dfuclaimer/loop.go
@@ -63,7 +63,7 @@
 	service, ok := l.Duty.service()
 	entry, _, known := view.Entry(service)
 	switch {
-	case l.machine == nil && !(ok && known && entry.NonIdempotent):
+	case l.machine == nil && (!ok || !known || !entry.NonIdempotent):
 		return
 	case l.machine == nil:
 		l.service = service
--- a/io/request/dfudispatch/duty.go
+++ b/io/request/dfudispatch/duty.go
@@ -515,6 +515,9 @@
 	}
 	delete(d.waiting, a.Request)
 	result := dfufront.Result{Outcome: a.Outcome, Reason: a.Reason, ID: a.ID, Attempts: a.Attempts}
+	if last := len(r.sent) - 1; last >= 0 && a.Outcome != dfuoutcome.Answered {
+		result.ID = r.sent[last]
+	}
 	if at := d.attempts[a.ID]; at != nil {
 		result.Target = at.to.Member.Node
 		if at.answer != nil {
