io/process/dfuoperator: state the measuring budget once for each service

Cause: status added the fleet's budget once per node and set bytes since the start against bytes a second. The claim duty of a node without claims woke 50 times a second for nothing. Ruled out: dropping the line, since the cost of measuring is one of the users' two measures.

--- a/io/process/dfuoperator/status.go
+++ b/io/process/dfuoperator/status.go
@@ -65,7 +65,8 @@
 	Reason string          `json:"reason"`
 }
 
-// measuringStatus is what a node spent on measuring of its share.
+// measuringStatus is what a node spent on measuring since its start, in bytes,
+// and its service's budget for the whole fleet, in bytes per second.
 type measuringStatus struct {
 	SpentBytes  dfuident.Bytes `json:"spent_bytes"`
 	BudgetBytes dfuident.Bytes `json:"budget_bytes"`
@@ -222,19 +223,26 @@
 // showTotals prints what was refused and what was spent on measuring.
 func (s *session) showTotals(nodes []nodeStatus) {
 	refused := make(map[dfuoutcome.Reason]uint64)
-	var measuring measuringStatus
+	var spent dfuident.Bytes
+	budgets := make(map[dfuident.Service]dfuident.Bytes)
 	for i := range nodes {
 		for reason, count := range nodes[i].Refused {
 			refused[reason] += count
 		}
-		measuring.SpentBytes += nodes[i].Measuring.SpentBytes
-		measuring.BudgetBytes += nodes[i].Measuring.BudgetBytes
+		spent += nodes[i].Measuring.SpentBytes
+		if budget := nodes[i].Measuring.BudgetBytes; budget > 0 {
+			budgets[nodes[i].Service] = budget
+		}
 	}
 	for _, reason := range slices.Sorted(maps.Keys(refused)) {
 		s.printf("refused %s: %d", reason, refused[reason])
 	}
-	if measuring != (measuringStatus{}) {
-		s.printf("measuring: %d of %d bytes", measuring.SpentBytes, measuring.BudgetBytes)
+	if len(budgets) > 0 {
+		var budget dfuident.Bytes
+		for _, b := range budgets {
+			budget += b
+		}
+		s.printf("measuring: %d bytes since the nodes started; the budget of %d services is %d bytes/s", spent, len(budgets), budget)
 	}
 }
 
--- a/io/request/dfuclaimer/loop.go
+++ b/io/request/dfuclaimer/loop.go
@@ -35,10 +35,15 @@
 	defer ticker.Stop()
 	leave := l.leave
 	for {
+		// A node without claims has no deadlines to look at.
+		var tick <-chan time.Time
+		if l.machine != nil {
+			tick = ticker.C
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-tick:
 			l.step(dfuclaim.Tick{Wall: l.deps.Wall()})
 		case <-l.viewChanged:
 			l.takeView(l.view.Load())
