core/request/dfuattempt: keep hedges off the paid link whatever the choice's reason

Cause: a hedge was held back by the reason of its choice, but a far target may be chosen as distrust, probation or nothing_better, so that a hedge could cross the link between regions. It also let the hedge wait in a queue, where it only costs. Ruled out: a list of all reasons that may be far; Choice.Far says it. Change: hedges need a near target and never wait. Test: the session's chooser now gives a far target the reason distrust; the session hedge fails with the former code and passes with this one.

--- a/core/request/dfuattempt/send.go
+++ b/core/request/dfuattempt/send.go
@@ -62,8 +62,11 @@
 			return choice, false
 		}
 	}
-	if reason == SendHedge && paid(choice.Reason) {
-		return choice, false
+	if reason == SendHedge {
+		if choice.Far {
+			return choice, false
+		}
+		choice.Wait = false
 	}
 	if reason == SendFirst || (reason == SendRefused && r.looking && r.sent < refusedMax) {
 		return choice, true
@@ -84,11 +87,6 @@
 	}
 }
 
-// paid reports whether a choice crosses the link between the regions.
-func paid(reason dfuchoice.ChoiceReason) bool {
-	return reason == dfuchoice.ReasonSpillover || reason == dfuchoice.ReasonFarRegion
-}
-
 // charge takes an extra attempt off the allowance and the budget.
 func (m *Machine) charge(r *request) bool {
 	allowance, ok := r.allowance.Extra(false)
--- a/core/request/session_test.go
+++ b/core/request/session_test.go
@@ -199,9 +199,9 @@
 	for _, target := range s.targets {
 		name, far := strings.CutSuffix(target, "!far")
 		if m := member(name); !slices.Contains(q.Excluded, m.Node) {
-			choice := dfuchoice.Choice{Member: m, Reason: dfuchoice.ReasonLocalZone}
+			choice := dfuchoice.Choice{Member: m, Reason: dfuchoice.ReasonLocalZone, Far: far}
 			if far {
-				choice.Reason = dfuchoice.ReasonFarRegion
+				choice.Reason = dfuchoice.ReasonDistrust
 			}
 			return choice, true
 		}
