io/request: split the duties by serving, attempts, offers, claims and the target

Ruled out: splitting the types; one duty stays one type. Change: a file for each concept; Answer.BlamesTarget.

--- /dev/null
+++ b/io/request/dfuadmission/target.go
@@ -0,0 +1,57 @@
+package dfuadmission
+
+import (
+	"context"
+
+	"dragonflyusher/core/request/dfugate"
+	"dragonflyusher/io/connection/dfutarget"
+	"dragonflyusher/io/request/dfumessage"
+)
+
+// SetTarget puts a new local target in place; client is nil if it has gone.
+func (d *Duty) SetTarget(client *dfutarget.Client, event dfugate.Event) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.client != nil {
+		d.client.Close()
+	}
+	d.client = client
+	d.step(event)
+}
+
+// handOver orders the goroutine of an offer to run it on the target.
+func (d *Duty) handOver(a dfugate.RunOnTarget) {
+	r := d.pending[a.ID]
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	d.runs.Inc(1)
+	r.span.AddEvent("handed_over")
+	r.wake <- order{ctx: ctx, client: d.client, remaining: a.Remaining}
+}
+
+// runOnTarget runs an offer on the target and reports its end.
+func (d *Duty) runOnTarget(r *run, o order) {
+	defer r.cancel()
+	var answer dfumessage.Answer
+	var event dfugate.Event = dfugate.TargetFailed{ID: r.offer.ID, Refused: true}
+	crashed := false
+	if o.client != nil {
+		var err error
+		answer, err = o.client.Run(o.ctx, r.offer, o.remaining)
+		switch dfutarget.Classify(answer, err) {
+		case dfutarget.EndAnswered:
+			event = dfugate.TargetDone{ID: r.offer.ID, Failed: answer.BlamesTarget()}
+		case dfutarget.EndNotRun:
+		case dfutarget.EndInterrupted:
+			crashed = o.ctx.Err() == nil && !o.client.Reachable()
+			event = dfugate.TargetFailed{ID: r.offer.ID, Died: crashed}
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r.answer = answer
+	d.step(event)
+	if crashed {
+		d.step(dfugate.TargetCrashed{})
+	}
+}
--- /dev/null
+++ b/io/request/dfudispatch/serve.go
@@ -0,0 +1,212 @@
+package dfudispatch
+
+import (
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/request/dfuattempt"
+	"dragonflyusher/core/request/dfuoutcome"
+	"dragonflyusher/io/connection/dfufront"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+)
+
+// request is a call without a result yet.
+type request struct {
+	call  dfufront.Call
+	event dfuattempt.Arrived
+	reply chan dfufront.Result
+	sent  []dfuident.RequestID
+	bulk  bool
+	// own is the attempt that the call's goroutine is to send itself.
+	own *outgoing
+}
+
+// Serve implements dfufront.Entry.
+func (d *Duty) Serve(call dfufront.Call, watch func(gone func()) (stop func())) dfufront.Result {
+	span, traceparent := d.deps.Tracer.Start(call.Traceparent, "entry")
+	call.Traceparent = traceparent
+	c := &caller{duty: d, gone: make(chan struct{})}
+	stop := watch(c.leave)
+	result := d.serve(call, c)
+	stop()
+	d.finished(call, span, result)
+	return result
+}
+
+// caller follows whether the caller of one call is still there.
+type caller struct {
+	duty    *Duty
+	gone    chan struct{}
+	request atomic.Uint64
+}
+
+// leave cancels the request that is in progress for the caller.
+func (c *caller) leave() {
+	close(c.gone)
+	c.duty.notify(dfuattempt.CallerGone{Request: dfuattempt.RequestNumber(c.request.Load())})
+}
+
+// serve tries the call, and tries it again while no node can take it just now.
+func (d *Duty) serve(call dfufront.Call, c *caller) dfufront.Result {
+	deadline := d.deps.Clock.Now().Add(call.Remaining)
+	var repeat dfuattempt.Repeat
+	attempts := 0
+	for {
+		result := d.try(call, c)
+		attempts += result.Attempts
+		result.Attempts = attempts
+		call.Remaining = deadline.Sub(d.deps.Clock.Now())
+		wait, again := repeat.After(result.Outcome, result.Reason, call.Remaining)
+		if !again {
+			return result
+		}
+		select {
+		case <-time.After(wait.Std()):
+		case <-c.gone:
+			return result
+		}
+		call.Remaining -= wait
+	}
+}
+
+// try steps the machine with the call once and waits for the outcome.
+func (d *Duty) try(call dfufront.Call, c *caller) dfufront.Result {
+	event, refused := d.admit(&call)
+	if refused != nil {
+		return *refused
+	}
+	c.request.Store(uint64(event.Request))
+	r := &request{call: call, event: event, reply: make(chan dfufront.Result, 1)}
+	if own := d.arrive(r); own != nil {
+		d.offer(own)
+	}
+	select {
+	case <-c.gone:
+		// The caller may have left before the machine knew the request.
+		d.notify(dfuattempt.CallerGone{Request: event.Request})
+	case result := <-r.reply:
+		return result
+	}
+	return <-r.reply
+}
+
+// finished counts, logs and traces the outcome of a call.
+func (d *Duty) finished(call dfufront.Call, span trace.Span, result dfufront.Result) {
+	d.outcomes[result.Outcome].Inc(1)
+	span.SetAttributes(
+		attribute.String("service", string(call.Service)),
+		attribute.String("outcome", string(result.Outcome)),
+		attribute.String("reason", string(result.Reason)),
+		attribute.Int("attempts", result.Attempts),
+	)
+	span.End()
+	if result.Outcome != dfuoutcome.Answered {
+		d.deps.Log.Info("request finished", zap.Stringer("request_id", result.ID),
+			zap.String("service", string(call.Service)),
+			zap.String("outcome", string(result.Outcome)), zap.String("reason", string(result.Reason)),
+			zap.Int("attempts", result.Attempts))
+	}
+}
+
+// arrive steps the machine with a call and returns its first attempt, if the
+// machine makes one at once.
+func (d *Duty) arrive(r *request) *outgoing {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stopped {
+		r.reply <- notRun(dfuoutcome.ReasonNodeDraining, "")
+		return nil
+	}
+	r.bulk = isBulk(d.known, r.call)
+	d.waiting[r.event.Request] = r
+	d.current = r
+	d.step(r.event)
+	d.current = nil
+	own := r.own
+	r.own = nil
+	return own
+}
+
+// admit checks a call against the catalogue.
+func (d *Duty) admit(call *dfufront.Call) (dfuattempt.Arrived, *dfufront.Result) {
+	refuse := func(reason dfuoutcome.Reason, detail string) (dfuattempt.Arrived, *dfufront.Result) {
+		result := notRun(reason, detail)
+		return dfuattempt.Arrived{}, &result
+	}
+	view := d.view.Load()
+	entry, _, ok := view.Entry(call.Service)
+	switch {
+	case !ok && len(view.Services()) == 0:
+		return refuse(dfuoutcome.ReasonNoCatalogue, "this node has no catalogue yet")
+	case !ok:
+		return refuse(dfuoutcome.ReasonUnknownService, "the catalogue has no service "+strconv.Quote(string(call.Service)))
+	case dfuident.Bytes(len(call.Body)) > entry.Limits.BodyBytes:
+		return refuse(dfuoutcome.ReasonBodyTooLarge, "the catalogue allows "+strconv.FormatInt(int64(entry.Limits.BodyBytes), 10)+" bytes")
+	case entry.NonIdempotent && call.Key == "":
+		return refuse(dfuoutcome.ReasonKeyMissing, "the service is non-idempotent: send Idempotency-Key")
+	}
+	call.Remaining = min(call.Remaining, entry.Limits.Deadline)
+	event := dfuattempt.Arrived{
+		Request:    dfuattempt.RequestNumber(d.number.Add(1)),
+		Service:    call.Service,
+		Caller:     call.Caller,
+		Class:      class(entry.Class),
+		Key:        call.Key,
+		Idempotent: !entry.NonIdempotent,
+		Remaining:  call.Remaining,
+		Body:       dfuident.Bytes(len(call.Body)),
+		Allowance:  allowance(call.Allowance),
+		Hedge:      entry.Retry.Hedge && !entry.NonIdempotent,
+	}
+	if entry.NonIdempotent {
+		owner, ok := d.deps.Owners.Owner(view, call.Service, call.Key)
+		if !ok {
+			return refuse(dfuoutcome.ReasonNotOwner, "no node owns the key's shard yet")
+		}
+		event.Owner = owner
+	}
+	return event, nil
+}
+
+func (d *Duty) finish(a dfuattempt.Finish) {
+	r := d.waiting[a.Request]
+	if r == nil {
+		return
+	}
+	delete(d.waiting, a.Request)
+	result := dfufront.Result{Outcome: a.Outcome, Reason: a.Reason, ID: a.ID, Attempts: a.Attempts}
+	if last := len(r.sent) - 1; last >= 0 && a.Outcome != dfuoutcome.Answered {
+		result.ID = r.sent[last]
+	}
+	if at := d.attempts[a.ID]; at != nil {
+		result.Target = at.to.Member.Node
+		if at.answer != nil {
+			result.Answer = *at.answer
+		}
+	}
+	d.release(r)
+	r.reply <- result
+}
+
+// release ends what waits for the attempts of a request that has its outcome.
+func (d *Duty) release(r *request) {
+	for _, id := range r.sent {
+		a := d.attempts[id]
+		switch {
+		case a == nil:
+		case a.lost:
+			d.endAttempt(id)
+		default:
+			a.cancel()
+		}
+	}
+}
+
+func notRun(reason dfuoutcome.Reason, detail string) dfufront.Result {
+	return dfufront.Result{Outcome: dfuoutcome.NotRun, Reason: reason, Detail: detail}
+}
--- a/io/request/dfumessage/message.go
+++ b/io/request/dfumessage/message.go
@@ -62,6 +62,15 @@
 	Body    []byte
 }
 
+// firstServerError is the lowest HTTP status that blames the target.
+const firstServerError = 500
+
+// BlamesTarget reports whether the answer is an error of the target rather than
+// of the request.
+func (a *Answer) BlamesTarget() bool {
+	return a.Status >= firstServerError
+}
+
 // Has reports whether the answer has a header field.
 func (a *Answer) Has(name string) bool {
 	for _, h := range a.Headers {
