core/process/dfuheap: keep one heap for timers and queues

Cause: the same heap with positions stood three times, in dfuattempt and twice in dfugate. Ruled out: a heap without positions, since requests leave from the middle. Change: a generic heap on container/heap; an element outside has position -1.

--- a/core/request/dfuattempt/arrive.go
+++ b/core/request/dfuattempt/arrive.go
@@ -1,8 +1,6 @@
 package dfuattempt
 
 import (
-	"container/heap"
-
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/request/dfuoutcome"
@@ -30,7 +28,7 @@
 	}
 	r.due = r.deadline
 	m.requests[r.number] = r
-	heap.Push(&m.timers, r)
+	m.timers.Push(r)
 	m.supersede(now, r)
 	m.budget.Earn(r.service, r.caller)
 	if !m.send(now, r, SendFirst) {
--- a/core/request/dfuattempt/attempts.go
+++ b/core/request/dfuattempt/attempts.go
@@ -5,6 +5,7 @@
 
 	"dragonflyusher/core/process/dfubudget"
 	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuheap"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/request/dfuoutcome"
 )
@@ -112,33 +113,12 @@
 	return due
 }
 
-// timers is a heap of all requests by due time.
-type timers []*request
-
-func (h timers) Len() int { return len(h) }
-
-func (h timers) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(h[i].due, h[j].due), cmp.Compare(h[i].number, h[j].number)) < 0
-}
-
-func (h timers) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index = i
-	h[j].index = j
-}
-
-// Push adds a request.
-func (h *timers) Push(x any) {
-	r := x.(*request)
-	r.index = len(*h)
-	*h = append(*h, r)
-}
-
-// Pop removes the last request.
-func (h *timers) Pop() any {
-	old := *h
-	r := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return r
+// newTimers returns an empty heap of requests by due time.
+func newTimers() *dfuheap.Heap[*request] {
+	return dfuheap.New(
+		func(a, b *request) bool {
+			return cmp.Or(cmp.Compare(a.due, b.due), cmp.Compare(a.number, b.number)) < 0
+		},
+		func(r *request) *int { return &r.index },
+	)
 }
--- a/core/request/dfuattempt/finish.go
+++ b/core/request/dfuattempt/finish.go
@@ -1,7 +1,6 @@
 package dfuattempt
 
 import (
-	"container/heap"
 	"slices"
 
 	"dragonflyusher/core/connection/dfuchoice"
@@ -27,7 +26,7 @@
 		m.emit(SendCancel{ID: a.id, To: a.to})
 	}
 	r.live = nil
-	heap.Remove(&m.timers, r.index)
+	m.timers.Remove(r)
 	delete(m.requests, r.number)
 	if r.idempotent && m.byKey[r.supersedeKey()] == r {
 		delete(m.byKey, r.supersedeKey())
--- a/core/request/dfuattempt/machine.go
+++ b/core/request/dfuattempt/machine.go
@@ -3,6 +3,7 @@
 import (
 	"dragonflyusher/core/connection/dfuchoice"
 	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuheap"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/request/dfuoutcome"
 )
@@ -64,7 +65,7 @@
 	requests map[RequestNumber]*request
 	byKey    map[supersedeKey]*request
 	attempts attempts
-	timers   timers
+	timers   *dfuheap.Heap[*request]
 	sequence uint64
 	actions  []Action
 }
@@ -80,6 +81,7 @@
 		requests: make(map[RequestNumber]*request),
 		byKey:    make(map[supersedeKey]*request),
 		attempts: attempts{byID: make(map[dfuident.RequestID]*attempt)},
+		timers:   newTimers(),
 		sequence: 1,
 	}
 }
@@ -124,10 +126,10 @@
 
 // Next returns when the next Tick is due, if one is.
 func (m *Machine) Next() (dfuclock.Time, bool) {
-	if len(m.timers) == 0 {
+	if m.timers.Len() == 0 {
 		return 0, false
 	}
-	return m.timers[0].due, true
+	return m.timers.First().due, true
 }
 
 // Settled returns the sequence below which every attempt is settled.
--- a/core/request/dfuattempt/tick.go
+++ b/core/request/dfuattempt/tick.go
@@ -1,15 +1,13 @@
 package dfuattempt
 
 import (
-	"container/heap"
-
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/request/dfuoutcome"
 )
 
 func (m *Machine) tick(now dfuclock.Time) {
-	for len(m.timers) > 0 && !now.Before(m.timers[0].due) {
-		r := m.timers[0]
+	for m.timers.Len() > 0 && !now.Before(m.timers.First().due) {
+		r := m.timers.First()
 		if !now.Before(r.deadline) {
 			m.abandon(now, r, dfuoutcome.ReasonDeadline)
 			continue
@@ -45,6 +43,6 @@
 	due := r.nextDue()
 	if due != r.due {
 		r.due = due
-		heap.Fix(&m.timers, r.index)
+		m.timers.Fix(r)
 	}
 }
--- a/core/request/dfugate/decide.go
+++ b/core/request/dfugate/decide.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"slices"
 
 	"dragonflyusher/core/process/dfuident"
@@ -42,9 +41,7 @@
 
 func (m *Machine) forget(r *record, v verdict) {
 	delete(m.live, r.id)
-	if r.timerIndex >= 0 {
-		heap.Remove(&m.timers, r.timerIndex)
-	}
+	m.timers.Remove(r)
 	m.decide(r.id, v)
 }
 
--- a/core/request/dfugate/dispatch.go
+++ b/core/request/dfugate/dispatch.go
@@ -1,7 +1,6 @@
 package dfugate
 
 import (
-	"container/heap"
 	"slices"
 
 	"dragonflyusher/core/process/dfuclock"
@@ -55,13 +54,13 @@
 }
 
 func (m *Machine) expire(now dfuclock.Time) {
-	for len(m.timers) > 0 && !now.Before(m.timers[0].deadline) {
-		r := m.timers[0]
+	for m.timers.Len() > 0 && !now.Before(m.timers.First().deadline) {
+		r := m.timers.First()
 		if r.state != stateRunning {
 			m.refuse(r, dfuoutcome.NotRun, dfuoutcome.ReasonDeadline)
 			continue
 		}
-		heap.Pop(&m.timers)
+		m.timers.Remove(r)
 		m.cancelRunning(r, dfuoutcome.ReasonDeadline)
 	}
 }
--- a/core/request/dfugate/machine.go
+++ b/core/request/dfugate/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuheap"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/request/dfucrash"
 	"dragonflyusher/core/request/dfuoutcome"
@@ -62,7 +63,7 @@
 	unwanted map[dfuident.RequestID]ReleaseClaim
 	queue    *queue
 	running  []*record
-	timers   timers
+	timers   *dfuheap.Heap[*record]
 	ledger   *ledger
 
 	draining bool
@@ -133,6 +134,7 @@
 		live:     make(map[dfuident.RequestID]*record),
 		unwanted: make(map[dfuident.RequestID]ReleaseClaim),
 		queue:    newQueue(),
+		timers:   newTimers(),
 		ledger:   newLedger(cfg.VerdictsMax, cfg.EntriesMax),
 	}
 	m.rate.change(0, cfg.Limits.RatePerSecond)
@@ -189,10 +191,10 @@
 
 // Next returns when the next Tick is due, if one is.
 func (m *Machine) Next() (dfuclock.Time, bool) {
-	if len(m.timers) == 0 {
+	if m.timers.Len() == 0 {
 		return 0, false
 	}
-	return m.timers[0].deadline, true
+	return m.timers.First().deadline, true
 }
 
 // Load returns the present load.
--- a/core/request/dfugate/offer.go
+++ b/core/request/dfugate/offer.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"slices"
 
 	"dragonflyusher/core/process/dfuclock"
@@ -38,7 +37,7 @@
 		return
 	}
 	m.live[r.id] = r
-	heap.Push(&m.timers, r)
+	m.timers.Push(r)
 	if r.idempotent {
 		m.enqueue(r)
 		return
--- a/core/request/dfugate/queue.go
+++ b/core/request/dfugate/queue.go
@@ -2,8 +2,8 @@
 
 import (
 	"cmp"
-	"container/heap"
 
+	"dragonflyusher/core/process/dfuheap"
 	"dragonflyusher/core/process/dfuident"
 )
 
@@ -25,7 +25,7 @@
 // callerQueue is a heap of one caller's requests by deadline.
 type callerQueue struct {
 	caller  dfuident.Caller
-	waiting byDeadline
+	waiting *dfuheap.Heap[*record]
 }
 
 func newQueue() *queue {
@@ -40,11 +40,11 @@
 	c := &q.classes[r.class]
 	caller := c.callers[r.caller]
 	if caller == nil {
-		caller = &callerQueue{caller: r.caller}
+		caller = &callerQueue{caller: r.caller, waiting: newWaiting()}
 		c.callers[r.caller] = caller
 		c.turn = append(c.turn, caller)
 	}
-	heap.Push(&caller.waiting, r)
+	caller.waiting.Push(r)
 	c.length++
 	q.length++
 }
@@ -69,11 +69,11 @@
 
 // next returns the caller's request with the earliest deadline that may run.
 func (c *callerQueue) next(may func(*record) bool) *record {
-	if may(c.waiting[0]) {
-		return c.waiting[0]
+	if may(c.waiting.First()) {
+		return c.waiting.First()
 	}
 	var first *record
-	for _, r := range c.waiting {
+	for _, r := range c.waiting.All() {
 		if may(r) && (first == nil || before(r, first)) {
 			first = r
 		}
@@ -84,10 +84,10 @@
 func (q *queue) remove(r *record) {
 	c := &q.classes[r.class]
 	caller := c.callers[r.caller]
-	heap.Remove(&caller.waiting, r.queueIndex)
+	caller.waiting.Remove(r)
 	c.length--
 	q.length--
-	if len(caller.waiting) > 0 {
+	if caller.waiting.Len() > 0 {
 		return
 	}
 	delete(c.callers, r.caller)
@@ -117,7 +117,7 @@
 		if longest == nil {
 			continue
 		}
-		if class > int(r.class) || len(longest.waiting) > q.classes[class].places(r.caller)+1 {
+		if class > int(r.class) || longest.waiting.Len() > q.classes[class].places(r.caller)+1 {
 			return longest.last()
 		}
 		return nil
@@ -128,7 +128,7 @@
 func (c *classQueue) longest() *callerQueue {
 	var longest *callerQueue
 	for _, caller := range c.turn {
-		if longest == nil || len(caller.waiting) > len(longest.waiting) {
+		if longest == nil || caller.waiting.Len() > longest.waiting.Len() {
 			longest = caller
 		}
 	}
@@ -137,15 +137,15 @@
 
 func (c *classQueue) places(caller dfuident.Caller) int {
 	if q := c.callers[caller]; q != nil {
-		return len(q.waiting)
+		return q.waiting.Len()
 	}
 	return 0
 }
 
 // last returns the caller's request with the latest deadline.
 func (c *callerQueue) last() *record {
-	last := c.waiting[0]
-	for _, r := range c.waiting[1:] {
+	last := c.waiting.First()
+	for _, r := range c.waiting.All()[1:] {
 		if before(last, r) {
 			last = r
 		}
@@ -158,59 +158,12 @@
 	return cmp.Or(cmp.Compare(a.deadline, b.deadline), cmp.Compare(a.arrival, b.arrival)) < 0
 }
 
-// byDeadline is a heap of one caller's waiting records.
-type byDeadline []*record
-
-func (h byDeadline) Len() int           { return len(h) }
-func (h byDeadline) Less(i, j int) bool { return before(h[i], h[j]) }
-
-func (h byDeadline) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].queueIndex = i
-	h[j].queueIndex = j
-}
-
-// Push adds a record.
-func (h *byDeadline) Push(x any) {
-	r := x.(*record)
-	r.queueIndex = len(*h)
-	*h = append(*h, r)
-}
-
-// Pop removes the last record.
-func (h *byDeadline) Pop() any {
-	old := *h
-	r := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return r
-}
-
-// timers is a heap of all live records by deadline.
-type timers []*record
-
-func (h timers) Len() int           { return len(h) }
-func (h timers) Less(i, j int) bool { return before(h[i], h[j]) }
-
-func (h timers) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].timerIndex = i
-	h[j].timerIndex = j
-}
-
-// Push adds a record.
-func (h *timers) Push(x any) {
-	r := x.(*record)
-	r.timerIndex = len(*h)
-	*h = append(*h, r)
+// newWaiting returns an empty heap of waiting records by deadline.
+func newWaiting() *dfuheap.Heap[*record] {
+	return dfuheap.New(before, func(r *record) *int { return &r.queueIndex })
 }
 
-// Pop removes the last record.
-func (h *timers) Pop() any {
-	old := *h
-	r := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	r.timerIndex = -1
-	return r
+// newTimers returns an empty heap of live records by deadline.
+func newTimers() *dfuheap.Heap[*record] {
+	return dfuheap.New(before, func(r *record) *int { return &r.timerIndex })
 }
