--- a/core/connection/dfuchoice/chooser.go
+++ b/core/connection/dfuchoice/chooser.go
@@ -50,6 +50,8 @@
 	from     dfuident.Place
 	services map[dfuident.Service]*serviceState
 	nodes    map[dfuident.NodeID]*targetState
+	// ejected is the ejection that the last Done began.
+	ejected *Ejection
 }
 
 // serviceState is what the Chooser knows of one service.
@@ -122,7 +124,13 @@
 		return
 	}
 	network := t.networkTime(c.from, c.settings.Delays)
+	before := t.health.state
 	t.noteDone(now, f, network)
+	c.ejected = nil
+	if t.health.state == ejected && before != ejected {
+		e := t.ejection(now)
+		c.ejected = &e
+	}
 	t.service.noteRefusal(f.Kind)
 	if f.Kind == FeedbackAnswered {
 		t.service.latencies.add(f.Latency)
--- a/io/process/dfunode/admin.go
+++ b/io/process/dfunode/admin.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 
+	"dragonflyusher/core/connection/dfuchoice"
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/request/dfuoutcome"
@@ -160,6 +162,9 @@
 	status.Queued = int(gate.Load.Queued)
 	status.ServiceTime = gate.Load.ServiceTime
 	status.Refused = gate.Refused
+	for _, e := range s.entry.Ejections() {
+		status.Peers = append(status.Peers, PeerStatus{Node: e.Member.Node, State: dfuroster.Alive, Reason: ejectionReason(e)})
+	}
 	s.target.mu.Lock()
 	defer s.target.mu.Unlock()
 	status.Measuring = MeasuringStatus{
@@ -174,6 +179,14 @@
 	}
 }
 
+// ejectionReason says why a live node gets no requests from this one.
+func ejectionReason(e dfuchoice.Ejection) string {
+	if e.Remaining == 0 {
+		return fmt.Sprintf("on probation, %d %% of attempts failed", e.FailedPercent)
+	}
+	return fmt.Sprintf("ejected for %s more, %d %% of attempts failed", e.Remaining, e.FailedPercent)
+}
+
 func (n *Node) nodes() []NodeStatus {
 	nodes := []NodeStatus{}
 	for _, v := range n.control.View().Nodes() {
--- a/io/process/dfunode/fleet_test.go
+++ b/io/process/dfunode/fleet_test.go
@@ -85,6 +85,8 @@
 			"call":       func(ts *testscript.TestScript, _ bool, args []string) { of(ts).call(args) },
 			"background": func(ts *testscript.TestScript, _ bool, args []string) { of(ts).background(args) },
 			"joined":     func(ts *testscript.TestScript, _ bool, _ []string) { of(ts).joined() },
+			"ejected":    func(ts *testscript.TestScript, _ bool, args []string) { of(ts).ejected(args[0], args[1]) },
+			"reach":      func(ts *testscript.TestScript, _ bool, args []string) { of(ts).reach(args[0], args[1]) },
 			"settle":     func(ts *testscript.TestScript, _ bool, args []string) { of(ts).settle(args[0]) },
 			"persist":    func(ts *testscript.TestScript, _ bool, args []string) { of(ts).persist(args) },
 			"calls":      func(ts *testscript.TestScript, _ bool, args []string) { of(ts).calls(args) },
@@ -115,10 +117,13 @@
 	procs   map[string]*exec.Cmd
 	keys    map[string]string
 	// ranAt is the node whose target answered for a key.
-	ranAt   map[string]string
-	notRun  []string
-	running []chan dfucallerstandin.Summary
-	started []string
+	ranAt map[string]string
+	// notRun holds the request ids that were told not_run, and outcomes what
+	// the calls with a key were told.
+	notRun   []string
+	outcomes map[string][]string
+	running  []chan dfucallerstandin.Summary
+	started  []string
 }
 
 type member struct{ node, service, address, slots string }
@@ -128,7 +133,7 @@
 func setup(env *testscript.Env, bin string) error {
 	alone.Lock()
 	octet, reserved := reserve()
-	f := &fleet{bin: bin, test: octet, dir: env.WorkDir, procs: map[string]*exec.Cmd{}, keys: map[string]string{}, ranAt: map[string]string{}}
+	f := &fleet{bin: bin, test: octet, dir: env.WorkDir, procs: map[string]*exec.Cmd{}, keys: map[string]string{}, ranAt: map[string]string{}, outcomes: map[string][]string{}}
 	env.Defer(func() {
 		f.killAll()
 		_ = reserved.Close()
@@ -350,6 +355,39 @@
 	return f.keys[name]
 }
 
+// ejected waits until a node says that it avoids a peer, while it makes calls:
+// "ejected NODE PEER".
+func (f *fleet) ejected(node, peer string) {
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); {
+		f.try([]string{node, f.member(peer).service, "/work"})
+		var s struct {
+			Peers []struct{ Node, Reason string }
+		}
+		f.get(node, "status", &s)
+		for _, p := range s.Peers {
+			if p.Node == peer && strings.HasPrefix(p.Reason, "ejected") {
+				f.say("%s avoids %s", node, peer)
+				return
+			}
+		}
+	}
+	f.ts.Fatalf("%s does not avoid %s", node, peer)
+}
+
+// reach waits until the effect logs hold a number of events: "reach EVENT N".
+func (f *fleet) reach(event, number string) {
+	want, err := strconv.Atoi(number)
+	f.ts.Check(err)
+	got := 0
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if got = f.count(dfutargetstandin.EffectEvent(event)); got == want {
+			f.say("%d %s", got, event)
+			return
+		}
+	}
+	f.ts.Fatalf("%d events %s, not %d", got, event, want)
+}
+
 // settle waits until the claim table of a service has not changed for a while,
 // so that each shard has a copy holder that is up to date.
 func (f *fleet) settle(service string) {
@@ -404,12 +442,14 @@
 	}
 	resp, err := client.Do(req)
 	if err != nil {
+		f.outcomes[f.keys[key]] = append(f.outcomes[f.keys[key]], "no_answer")
 		return "no answer"
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	f.ts.Check(err)
 	outcome, reason := resp.Header.Get("Dragonflyusher-Outcome"), resp.Header.Get("Dragonflyusher-Reason")
+	f.outcomes[f.keys[key]] = append(f.outcomes[f.keys[key]], outcome)
 	line := strings.TrimSpace(fmt.Sprintf("%d %s %s", resp.StatusCode, outcome, reason))
 	if slices.Contains(args, "reason=any") {
 		line, body = fmt.Sprintf("%d %s", resp.StatusCode, outcome), nil
@@ -457,6 +497,7 @@
 	s := dfucallerstandin.Run(dfucallerstandin.Config{
 		Nodes: f.addresses(), Services: args[:1], Calls: n, Concurrency: 4, DeadlineMS: 5000, URI: "/work",
 	})[0]
+	f.noteNotRun(s)
 	if len(args) > 2 {
 		s.Outcomes = map[string]int{"settled": s.Outcomes["answered"] + s.Outcomes["not_run"] + s.Outcomes["unknown"]}
 	}
@@ -487,6 +528,7 @@
 func (f *fleet) joined() {
 	for i, done := range f.running {
 		s := <-done
+		f.noteNotRun(s)
 		f.say("background %s: %v wrong=%d", f.started[i], s.Outcomes, s.Wrong)
 	}
 	f.running, f.started = nil, nil
@@ -652,12 +694,13 @@
 // audit checks what must always hold against all effect logs: no key of a
 // non-idempotent service began twice, no request told not_run ever began.
 func (f *fleet) audit() {
-	keys, ids := map[string]int{}, map[string]bool{}
+	keys, begun, ids := map[string]int{}, map[string]bool{}, map[string]bool{}
 	for _, e := range f.effects() {
 		if e.Event != dfutargetstandin.EffectStarted {
 			continue
 		}
 		keys[e.Service+"/"+e.Key]++
+		begun[e.Key] = true
 		ids[e.RequestID] = true
 	}
 	for _, id := range f.notRun {
@@ -665,6 +708,11 @@
 			f.ts.Fatalf("request %s was told not_run and began", id)
 		}
 	}
+	for _, key := range f.onlyNotRun() {
+		if begun[key] {
+			f.ts.Fatalf("a request with key %s was told not_run and began", key)
+		}
+	}
 	for _, service := range f.nonIdempotent() {
 		for _, key := range f.keys {
 			if n := keys[service+"/"+key]; n > 1 {
@@ -675,6 +723,25 @@
 	f.say("audit: ok")
 }
 
+// noteNotRun keeps the keys of calls that were told not_run; each was used once.
+func (f *fleet) noteNotRun(s dfucallerstandin.Summary) {
+	for _, key := range s.NotRun {
+		f.outcomes[key] = append(f.outcomes[key], "not_run")
+	}
+}
+
+// onlyNotRun returns the keys of which every call was told not_run.
+func (f *fleet) onlyNotRun() []string {
+	var keys []string
+	for key, outcomes := range f.outcomes {
+		other := slices.ContainsFunc(outcomes, func(o string) bool { return o != "not_run" })
+		if key != "" && !other {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 func (f *fleet) nonIdempotent() []string {
 	entries, err := filepath.Glob(filepath.Join(root, "deploy", f.name, "catalogue", "*.json"))
 	f.ts.Check(err)
--- a/io/process/dfuoperator/status.go
+++ b/io/process/dfuoperator/status.go
@@ -246,7 +246,7 @@
 	}
 }
 
-// showPeers prints which nodes see a peer as other than alive.
+// showPeers prints which nodes see a peer as other than alive, or avoid it.
 func (s *session) showPeers(nodes []nodeStatus) {
 	for i := range nodes {
 		for _, p := range nodes[i].Peers {
@@ -254,7 +254,7 @@
 			if p.Reason != "" {
 				text += ": " + p.Reason
 			}
-			if p.State != dfuroster.Alive {
+			if p.State != dfuroster.Alive || p.Reason != "" {
 				s.printf("%s sees %s as %s", nodes[i].Node, p.Node, text)
 			}
 		}
--- a/io/request/dfudispatch/duty.go
+++ b/io/request/dfudispatch/duty.go
@@ -38,6 +38,9 @@
 type Chooser interface {
 	dfuattempt.Chooser
 	SetTargets(now dfuclock.Time, service dfuident.Service, targets []dfuchoice.Target)
+	// TakeEjected returns the ejection that the last Done began, if it did.
+	TakeEjected() (dfuchoice.Ejection, bool)
+	Ejections(now dfuclock.Time) []dfuchoice.Ejection
 }
 
 // Deps are what a Duty needs.
@@ -63,6 +66,8 @@
 	view     atomic.Pointer[dfuroster.View]
 	number   atomic.Uint64
 	outcomes map[dfuoutcome.Outcome]metrics.Counter
+	// ejections counts how often a target was ejected.
+	ejections metrics.Counter
 
 	mu       sync.Mutex
 	timer    *time.Timer
@@ -79,12 +84,13 @@
 // New returns a duty that knows no targets.
 func New(deps Deps) *Duty {
 	d := &Duty{
-		deps:     deps,
-		waiting:  map[dfuattempt.RequestNumber]*request{},
-		attempts: map[dfuident.RequestID]*attempt{},
-		known:    dfuroster.New(),
-		services: map[dfuident.Service]struct{}{},
-		outcomes: map[dfuoutcome.Outcome]metrics.Counter{},
+		deps:      deps,
+		waiting:   map[dfuattempt.RequestNumber]*request{},
+		attempts:  map[dfuident.RequestID]*attempt{},
+		known:     dfuroster.New(),
+		services:  map[dfuident.Service]struct{}{},
+		outcomes:  map[dfuoutcome.Outcome]metrics.Counter{},
+		ejections: metrics.GetOrRegisterCounter("entry.ejections", deps.Metrics),
 	}
 	d.view.Store(d.known)
 	d.timer = time.AfterFunc(time.Hour, func() { d.notify(dfuattempt.Tick{}) })
@@ -102,6 +108,13 @@
 	d.setTargets(view)
 }
 
+// Ejections returns the targets that this node avoids because they fail.
+func (d *Duty) Ejections() []dfuchoice.Ejection {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.deps.Chooser.Ejections(d.deps.Clock.Now())
+}
+
 // Close gives every call that is left its outcome.
 func (d *Duty) Close() {
 	d.mu.Lock()
@@ -133,6 +146,11 @@
 	for _, action := range d.deps.Machine.Step(now, event) {
 		d.act(action)
 	}
+	if e, ok := d.deps.Chooser.TakeEjected(); ok {
+		d.ejections.Inc(1)
+		d.deps.Log.Warn("target ejected", zap.Stringer("target", e.Member),
+			zap.Stringer("for", e.Remaining), zap.Int("failed_percent", e.FailedPercent))
+	}
 	if due, ok := d.deps.Machine.Next(); ok {
 		d.timer.Reset(max(due.Sub(now), dfuclock.Millisecond).Std())
 	}
--- a/standin/dfucallerstandin/caller.go
+++ b/standin/dfucallerstandin/caller.go
@@ -42,10 +42,12 @@
 	Outcomes map[string]int `json:"outcomes"`
 	Reasons  map[string]int `json:"reasons,omitempty"`
 	// Wrong counts answers that do not belong to their request.
-	Wrong     int   `json:"wrong"`
-	P50US     int64 `json:"p50_us"`
-	P99US     int64 `json:"p99_us"`
-	P999US    int64 `json:"p999_us"`
+	Wrong  int   `json:"wrong"`
+	P50US  int64 `json:"p50_us"`
+	P99US  int64 `json:"p99_us"`
+	P999US int64 `json:"p999_us"`
+	// NotRun holds the keys of the calls that were told not_run.
+	NotRun    []string `json:"-"`
 	histogram *hdrhistogram.Histogram
 }
 
@@ -92,6 +94,7 @@
 	outcome string
 	reason  string
 	wrong   bool
+	key     string
 	latency time.Duration
 }
 
@@ -103,6 +106,9 @@
 	if r.wrong {
 		s.Wrong++
 	}
+	if r.outcome == "not_run" {
+		s.NotRun = append(s.NotRun, r.key)
+	}
 	_ = s.histogram.RecordValue(r.latency.Microseconds())
 }
 
@@ -122,7 +128,7 @@
 	}
 	started := time.Now()
 	err := client.Do(req, resp)
-	r := result{latency: time.Since(started)}
+	r := result{key: key, latency: time.Since(started)}
 	switch {
 	case err != nil:
 		r.outcome, r.reason = "no_answer", err.Error()
--- a/standin/dfutargetstandin/announce.go
+++ b/standin/dfutargetstandin/announce.go
@@ -84,7 +84,11 @@
 	depth, _ := strconv.Atoi(query.Get("depth"))
 	uri := url.URL{Scheme: "http", Host: t.cfg.Node, Path: "/nested"}
 	values := url.Values{"ms": {query.Get("ms")}}
+	if depth <= 1 && query.Has("last") {
+		values.Set("ms", query.Get("last"))
+	}
 	if depth > 1 {
+		values.Set("last", query.Get("last"))
 		values.Set("service", query.Get("service"))
 		values.Set("depth", strconv.Itoa(depth-1))
 	}
--- a/standin/dfutargetstandin/target.go
+++ b/standin/dfutargetstandin/target.go
@@ -98,7 +98,8 @@
 }
 
 // work runs one request. The query selects what happens: ms, size, crash,
-// fail, and service with depth for an onward call.
+// fail, and service with depth for an onward call, whose deepest one runs for
+// last ms.
 func (t *Target) work(w http.ResponseWriter, r *http.Request) {
 	if t.failing.Load() {
 		http.Error(w, "error burst", http.StatusInternalServerError)
