io/process/dfucontrol: make the word that a node left final

The announcement that the node left waits in one place until the owner reads it; a new view, such as the one its own leave brings, made the node announce its target again and replaced it. Change: an announcement with Left is not replaced. The relay of the sessions has Hollingsworth's 1.5 ms within the region. Test: TestRunAfterLeaveUnderASlowClockIsNewer announces its target right after the leave; with the former code the leave is never known (60 s), with this one it passes.

--- a/io/process/dfucontrol/duty.go
+++ b/io/process/dfucontrol/duty.go
@@ -70,9 +70,17 @@
 	return &Receiver{duty: d}
 }
 
-// Announce replaces what the node says of its own target. It never blocks.
+// Announce replaces what the node says of its own target, unless it said that it
+// left, which is final. It never blocks.
 func (d *Duty) Announce(a Announcement) {
-	d.announcement.Store(&a)
+	for old := d.announcement.Load(); ; old = d.announcement.Load() {
+		if old != nil && old.Left {
+			return
+		}
+		if d.announcement.CompareAndSwap(old, &a) {
+			break
+		}
+	}
 	select {
 	case d.announced <- struct{}{}:
 	default:
--- a/io/process/dfucontrol/duty_test.go
+++ b/io/process/dfucontrol/duty_test.go
@@ -289,6 +289,7 @@
 	f.wait("both see each other", allAlive([]*dfucontrol.Duty{first, second}, 2))
 	before := first.Member()
 	first.Announce(dfucontrol.Announcement{Left: true})
+	first.Announce(dfucontrol.Announcement{})
 	f.wait("the leave is known", func() bool {
 		n, _ := second.View().Node("vm-0")
 		return n.State == dfuroster.Left
--- a/io/process/dfunode/fleet_test.go
+++ b/io/process/dfunode/fleet_test.go
@@ -201,7 +201,7 @@
 func (f *fleet) startRelay(lines []string) {
 	cfg := dfurelaystandin.Config{
 		Admin:  "127." + f.test + ".0.1:7400",
-		Delays: dfurelaystandin.Delays{SameRegion: 1000, FarRegion: 8000},
+		Delays: delays(f.name),
 	}
 	for _, line := range lines {
 		fields := strings.Fields(line)
@@ -215,6 +215,15 @@
 	f.run("relay", "relaystandin", "--config", path)
 }
 
+// delays returns the one-way delays of a deployment, in microseconds.
+func delays(deployment string) dfurelaystandin.Delays {
+	d := dfurelaystandin.Delays{SameRegion: 1000, FarRegion: 8000}
+	if deployment == "hollingsworth" {
+		d.SameRegion = 1500
+	}
+	return d
+}
+
 // network sets a fault between two places: "network KIND A B".
 func (f *fleet) network(args []string) {
 	fault := dfurelaystandin.Fault{Kind: args[0]}
