io/process/dfustatus: keep the status pages' types once

Ruled out: the client importing dfunode, which would bring the whole node along; the whole status page, of which the client reads a part on purpose. Change: dfustatus holds what both use.

--- a/io/process/dfunode/admin.go
+++ b/io/process/dfunode/admin.go
@@ -11,6 +11,7 @@
 	"dragonflyusher/core/request/dfuoutcome"
 	"dragonflyusher/core/version/dfuroster"
 	"dragonflyusher/io/process/dfucontrol"
+	"dragonflyusher/io/process/dfustatus"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -31,8 +32,8 @@
 	InFlight    int               `json:"in_flight"`
 	Queued      int               `json:"queued"`
 	ServiceTime dfuclock.Duration `json:"service_time_ms"`
-	View        ViewStatus        `json:"view"`
-	Peers       []PeerStatus      `json:"peers"`
+	View        dfustatus.View    `json:"view"`
+	Peers       []dfustatus.Peer  `json:"peers"`
 	// Measuring is what the gate spent on telling its load.
 	Measuring MeasuringStatus             `json:"measuring"`
 	Refused   map[dfuoutcome.Reason]int64 `json:"refused"`
@@ -48,30 +49,6 @@
 	BudgetBytes    dfuident.Bytes `json:"budget_bytes"`
 }
 
-// ViewStatus says how current the node's view is.
-type ViewStatus struct {
-	Revision dfuident.Revision                      `json:"revision"`
-	Entries  map[dfuident.Service]dfuident.Revision `json:"entries"`
-}
-
-// PeerStatus is another node that is not simply alive.
-type PeerStatus struct {
-	Node   dfuident.NodeID `json:"node"`
-	State  dfuroster.State `json:"state"`
-	Reason string          `json:"reason,omitempty"`
-}
-
-// NodeStatus is one line of GET /dragonflyusher/nodes.
-type NodeStatus struct {
-	Node        dfuident.NodeID      `json:"node"`
-	Incarnation dfuident.Incarnation `json:"incarnation"`
-	Region      dfuident.Region      `json:"region"`
-	Zone        dfuident.Zone        `json:"zone"`
-	HTTP        dfuident.Address     `json:"http"`
-	Service     dfuident.Service     `json:"service"`
-	State       dfuroster.State      `json:"state"`
-}
-
 // admin answers the paths below /dragonflyusher/.
 func (n *Node) admin(ctx *fasthttp.RequestCtx) {
 	switch path := strings.TrimPrefix(string(ctx.Path()), "/dragonflyusher/"); path {
@@ -126,8 +103,8 @@
 		Region:  n.settings.Region,
 		Zone:    n.settings.Zone,
 		State:   "joining",
-		View:    ViewStatus{Revision: control.CatalogueRevision, Entries: map[dfuident.Service]dfuident.Revision{}},
-		Peers:   []PeerStatus{},
+		View:    dfustatus.View{Revision: control.CatalogueRevision, Entries: map[dfuident.Service]dfuident.Revision{}},
+		Peers:   []dfustatus.Peer{},
 		Control: control,
 	}
 	for _, service := range view.Services() {
@@ -136,7 +113,7 @@
 	}
 	for _, peer := range view.Nodes() {
 		if peer.State != dfuroster.Alive {
-			status.Peers = append(status.Peers, PeerStatus{Node: peer.Member.Node, State: peer.State})
+			status.Peers = append(status.Peers, dfustatus.Peer{Node: peer.Member.Node, State: peer.State})
 		}
 	}
 	if s := n.started.Load(); s != nil {
@@ -163,7 +140,7 @@
 	status.ServiceTime = gate.Load.ServiceTime
 	status.Refused = gate.Refused
 	for _, e := range s.entry.Ejections() {
-		status.Peers = append(status.Peers, PeerStatus{Node: e.Member.Node, State: dfuroster.Alive, Reason: ejectionReason(e)})
+		status.Peers = append(status.Peers, dfustatus.Peer{Node: e.Member.Node, State: dfuroster.Alive, Reason: ejectionReason(e)})
 	}
 	s.target.mu.Lock()
 	defer s.target.mu.Unlock()
@@ -187,10 +164,10 @@
 	return fmt.Sprintf("ejected for %s more, %d %% of attempts failed", e.Remaining, e.FailedPercent)
 }
 
-func (n *Node) nodes() []NodeStatus {
-	nodes := []NodeStatus{}
+func (n *Node) nodes() []dfustatus.Node {
+	nodes := []dfustatus.Node{}
 	for _, v := range n.control.View().Nodes() {
-		nodes = append(nodes, NodeStatus{
+		nodes = append(nodes, dfustatus.Node{
 			Node:        v.Member.Node,
 			Incarnation: v.Member.Incarnation,
 			Region:      v.Place.Region,
--- a/io/process/dfuoperator/node.go
+++ b/io/process/dfuoperator/node.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"dragonflyusher/core/process/dfuident"
-	"dragonflyusher/core/version/dfuroster"
+	"dragonflyusher/io/process/dfustatus"
 	"dragonflyusher/io/process/dfustore"
 
 	"github.com/cockroachdb/errors"
@@ -24,23 +24,6 @@
 	maxNodeAnswerBytes = 16 << 20
 )
 
-// nodeInfo is what one node knows about another.
-type nodeInfo struct {
-	Node        dfuident.NodeID      `json:"node"`
-	Incarnation dfuident.Incarnation `json:"incarnation"`
-	Region      dfuident.Region      `json:"region"`
-	Zone        dfuident.Zone        `json:"zone"`
-	HTTP        dfuident.Address     `json:"http"`
-	Service     dfuident.Service     `json:"service"`
-	State       dfuroster.State      `json:"state"`
-}
-
-// gone reports whether the node has ended, as far as is known, so that no
-// answer is expected from it.
-func (n nodeInfo) gone() bool {
-	return n.State == dfuroster.Left || n.State == dfuroster.Dead
-}
-
 // nodeClient reads from nodes over HTTP.
 type nodeClient struct {
 	http    *fasthttp.Client
@@ -79,20 +62,20 @@
 }
 
 // nodes returns the nodes that the node of the settings knows, by id.
-func (s *session) nodes(ctx context.Context, c *nodeClient) ([]nodeInfo, error) {
+func (s *session) nodes(ctx context.Context, c *nodeClient) ([]dfustatus.Node, error) {
 	if s.settings.Node == "" {
 		return nil, badInput("set --node, or node in the settings file")
 	}
-	var nodes []nodeInfo
+	var nodes []dfustatus.Node
 	if err := c.get(ctx, s.settings.Node, "/dragonflyusher/nodes", nil, &nodes); err != nil {
 		return nil, err
 	}
-	slices.SortFunc(nodes, func(a, b nodeInfo) int { return cmp.Compare(a.Node, b.Node) })
+	slices.SortFunc(nodes, func(a, b dfustatus.Node) int { return cmp.Compare(a.Node, b.Node) })
 	return nodes, nil
 }
 
 // eachNode calls ask with the index of each node, a few at a time.
-func eachNode(nodes []nodeInfo, ask func(i int)) {
+func eachNode(nodes []dfustatus.Node, ask func(i int)) {
 	var wait sync.WaitGroup
 	slots := make(chan struct{}, maxParallelNodes)
 	for i := range nodes {
--- a/io/process/dfuoperator/status.go
+++ b/io/process/dfuoperator/status.go
@@ -12,6 +12,7 @@
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/request/dfuoutcome"
 	"dragonflyusher/core/version/dfuroster"
+	"dragonflyusher/io/process/dfustatus"
 	"dragonflyusher/io/process/dfustore"
 
 	"github.com/cockroachdb/errors"
@@ -37,8 +38,8 @@
 	Slots       int                          `json:"slots"`
 	InFlight    int                          `json:"in_flight"`
 	Queued      int                          `json:"queued"`
-	View        viewStatus                   `json:"view"`
-	Peers       []peerStatus                 `json:"peers"`
+	View        dfustatus.View               `json:"view"`
+	Peers       []dfustatus.Peer             `json:"peers"`
 	Refused     map[dfuoutcome.Reason]uint64 `json:"refused"`
 	Measuring   measuringStatus              `json:"measuring"`
 	Control     controlStatus                `json:"control"`
@@ -52,19 +53,6 @@
 	StoreError   string            `json:"store_error,omitempty"`
 }
 
-// viewStatus is a node's view of the catalogue.
-type viewStatus struct {
-	Revision dfuident.Revision                      `json:"revision"`
-	Entries  map[dfuident.Service]dfuident.Revision `json:"entries"`
-}
-
-// peerStatus is what a node thinks of another one.
-type peerStatus struct {
-	Node   dfuident.NodeID `json:"node"`
-	State  dfuroster.State `json:"state"`
-	Reason string          `json:"reason"`
-}
-
 // measuringStatus is what a node spent on measuring since its start, in bytes,
 // and its service's budget for the whole fleet, in bytes per second.
 type measuringStatus struct {
@@ -99,9 +87,9 @@
 		return err
 	}
 	if c.Service != "" {
-		nodes = slices.DeleteFunc(nodes, func(n nodeInfo) bool { return n.Service != c.Service })
+		nodes = slices.DeleteFunc(nodes, func(n dfustatus.Node) bool { return n.Service != c.Service })
 	}
-	nodes = slices.DeleteFunc(nodes, nodeInfo.gone)
+	nodes = slices.DeleteFunc(nodes, dfustatus.Node.Gone)
 	f := fleet{Asked: len(nodes), Nodes: []nodeStatus{}, Laggards: []laggard{}}
 	answers := make([]nodeStatus, len(nodes))
 	failures := make([]error, len(nodes))
--- /dev/null
+++ b/io/process/dfustatus/doc.go
@@ -0,0 +1,3 @@
+// Package dfustatus holds the parts of a node's status pages that the node
+// writes and the operators' client reads.
+package dfustatus
