standin/dfutargetstandin: abort the connection of a run that was cut off

Cause: the handler of a run whose deadline or caller had gone returned without writing, which net/http completes to an empty answer with status 200. Whether the node had canceled by then was a race, so TestFleet/abandoned saw 200 answered in place of 504 unknown about once in three runs. Ruled out: the entry machine. It finishes a request once and drops a later reply. Change: such a handler aborts its connection, as a target without an answer does. After: 15 of 15 runs of go test -count=15 ./io/process/dfunode -run TestFleet/abandoned pass.

--- a/standin/dfutargetstandin/target.go
+++ b/standin/dfutargetstandin/target.go
@@ -114,7 +114,7 @@
 	defer t.running.Add(-1)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		return
+		panic(http.ErrAbortHandler)
 	}
 	if t.effects.add(t.effect(EffectStarted, r)) != nil {
 		http.Error(w, "effect log failed", http.StatusInternalServerError)
@@ -127,7 +127,8 @@
 	}
 	if !t.wait(r) {
 		_ = t.effects.add(t.effect(EffectCanceled, r))
-		return
+		// A handler that returns without writing would answer with a success.
+		panic(http.ErrAbortHandler)
 	}
 	t.answer(w, r, body)
 }
@@ -174,7 +175,7 @@
 		report.Nested = t.callOnward(w, r)
 	}
 	if t.effects.add(t.effect(EffectFinished, r)) != nil {
-		return
+		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if r.URL.Query().Has("fail") {
@@ -182,7 +183,7 @@
 	}
 	encoded, err := json.Marshal(report)
 	if err != nil {
-		return
+		panic(http.ErrAbortHandler)
 	}
 	size, _ := strconv.Atoi(r.URL.Query().Get("size"))
 	padding := make([]byte, max(0, size-len(encoded)))
