--- a/cmd/dragonflyusher/main.go
+++ b/cmd/dragonflyusher/main.go
@@ -8,15 +8,18 @@
 	"os/signal"
 	"syscall"
 
+	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/io/process/dfuoperator"
+	"dragonflyusher/io/process/dfustore"
+	"dragonflyusher/platform"
 
 	"github.com/google/uuid"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	operator := dfuoperator.New(os.Stdout, os.Stderr, newChangeID)
+	operator := dfuoperator.New(os.Stdout, os.Stderr, newChangeID, openStore)
 	status := operator.Run(ctx, os.Args[1:])
 	stop()
 	os.Exit(int(status))
@@ -26,3 +29,8 @@
 func newChangeID() dfuident.ChangeID {
 	return dfuident.ChangeID(uuid.NewString())
 }
+
+// openStore returns the client of the platform's store.
+func openStore(address dfuident.Address, timeout dfuclock.Duration) dfustore.Store {
+	return dfuplatform.NewStore(dfuplatform.StoreConfig{Address: address, Timeout: timeout})
+}
--- a/cmd/dragonflyusherd/main.go
+++ b/cmd/dragonflyusherd/main.go
@@ -7,12 +7,16 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/io/connection/dfufront"
+	"dragonflyusher/io/connection/dfutarget"
 	"dragonflyusher/io/process/dfulog"
 	"dragonflyusher/io/process/dfunode"
 	"dragonflyusher/io/process/dfusettings"
+	"dragonflyusher/platform"
 
 	"github.com/jessevdk/go-flags"
 	"go.uber.org/zap"
@@ -21,6 +25,11 @@
 // version is the version of the program.
 const version = "0.1.0"
 
+// memoryShare is the part of the memory limit, in percent, that the collector
+// keeps the heap within; stacks, buffers of the kernel and the program take the
+// rest.
+const memoryShare = 70
+
 // The exit statuses of the program.
 const (
 	exitFailed   = 1
@@ -60,6 +69,9 @@
 
 // serve runs the node until SIGTERM or SIGINT, which drain it first.
 func serve(settings dfusettings.Settings) int {
+	if settings.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(settings.Limits.MemoryMB) << 20 * memoryShare / 100)
+	}
 	log, level, err := dfulog.New(settings.Log.Level, zap.String("node", string(settings.Node)))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -67,7 +79,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	node, err := dfunode.New(ctx, settings, log, level)
+	node, err := dfunode.New(ctx, settings, adapters(settings), log, level)
 	if err != nil {
 		log.Error("start failed", zap.Error(err))
 		return exitFailed
@@ -83,6 +95,21 @@
 	return 0
 }
 
+// adapters returns how the node speaks to what is around it.
+func adapters(settings dfusettings.Settings) dfunode.Adapters {
+	a := dfunode.Adapters{
+		Store:   dfuplatform.NewStore(dfuplatform.StoreConfig{Address: settings.Store.Address, Timeout: settings.Store.Timeout}),
+		Callers: dfufront.Native{},
+		Targets: dfutarget.Native{},
+	}
+	if settings.Protocol == dfusettings.ProtocolPlatform {
+		a.Callers = dfuplatform.Callers{}
+		a.Targets = dfuplatform.Targets{}
+		a.Routed = true
+	}
+	return a
+}
+
 // announce prints where the node listens, as one JSON line.
 func announce(node *dfunode.Node) error {
 	callers, peers := node.Addresses()
--- a/core/process/dfuident/ident.go
+++ b/core/process/dfuident/ident.go
@@ -46,6 +46,10 @@
 // Generation counts the ownership changes of one claim shard.
 type Generation uint64
 
+// Instance names one run of a target; a target that starts again mostly has
+// another one.
+type Instance string
+
 // Bytes is a number of bytes.
 type Bytes int64
 
--- a/core/request/dfuattempt/arrive.go
+++ b/core/request/dfuattempt/arrive.go
@@ -25,6 +25,7 @@
 		body:       e.Body,
 		allowance:  e.Allowance,
 		owner:      e.Owner,
+		targets:    e.Targets,
 	}
 	r.due = r.deadline
 	m.requests[r.number] = r
--- a/core/request/dfuattempt/attempts.go
+++ b/core/request/dfuattempt/attempts.go
@@ -70,6 +70,9 @@
 	body       dfuident.Bytes
 	allowance  dfubudget.Allowance
 	owner      dfuident.Member
+	// targets is the most targets that may get the request, or zero, and
+	// reached how many got it in attempts that have ended.
+	targets, reached int
 
 	live     []*attempt
 	excluded []dfuident.NodeID
--- a/core/request/dfuattempt/event.go
+++ b/core/request/dfuattempt/event.go
@@ -35,6 +35,9 @@
 	Owner dfuident.Member
 	// Hedge asks for a second attempt if the first is slow.
 	Hedge bool
+	// Targets is the most targets that the request may be handed to; zero means
+	// that only the budget bounds them.
+	Targets int
 }
 
 // CallerGone reports that nobody waits for the request any more.
--- a/core/request/dfuattempt/reply.go
+++ b/core/request/dfuattempt/reply.go
@@ -25,6 +25,9 @@
 			m.conclude(now, a.request, e.Reason)
 			return
 		}
+		if e.Reason == dfuoutcome.ReasonTargetRefused {
+			a.request.reached++
+		}
 		a.request.noteRefused(a.to.Node, e.Reason)
 		m.proven(now, a, SendRefused, e.Reason)
 	default:
@@ -87,6 +90,7 @@
 	r := a.request
 	m.drop(a)
 	r.unproven = true
+	r.reached++
 	r.reason = reason
 	if r.mayRepeat() && m.send(now, r, SendTargetDied) {
 		return
@@ -103,10 +107,19 @@
 	m.finish(now, r, dfuident.RequestID{}, r.unanswered(), reason)
 }
 
+// exhausted reports whether the request has been handed, or may be, to as many
+// targets as it is allowed.
+func (r *request) exhausted() bool {
+	return r.targets > 0 && r.reached+len(r.live) >= r.targets
+}
+
 // mayRepeat reports whether another attempt is safe and of use: no attempt has
 // a working link, and if the request isn't idempotent, each has provably not
 // run and never will.
 func (r *request) mayRepeat() bool {
+	if r.exhausted() {
+		return false
+	}
 	if !r.idempotent {
 		return len(r.live) == 0 && !r.unproven
 	}
--- a/core/request/dfuattempt/tick.go
+++ b/core/request/dfuattempt/tick.go
@@ -34,7 +34,7 @@
 		return
 	}
 	r.hedge = false
-	if r.sent == 1 && len(r.live) == 1 {
+	if r.sent == 1 && len(r.live) == 1 && !r.exhausted() {
 		m.send(now, r, SendHedge)
 	}
 }
--- a/core/request/dfugate/event.go
+++ b/core/request/dfugate/event.go
@@ -41,6 +41,9 @@
 	// Remaining is the time left until the request's deadline.
 	Remaining  dfuclock.Duration
 	Idempotent bool
+	// NoClaim says that a non-idempotent request runs at most once for its id
+	// alone, which the gate sees to without a claim.
+	NoClaim bool
 	// NoWait asks to refuse the request if it finds no free slot, so that its
 	// entry node can look elsewhere.
 	NoWait bool
--- a/core/request/dfugate/offer.go
+++ b/core/request/dfugate/offer.go
@@ -38,7 +38,7 @@
 	}
 	m.live[r.id] = r
 	m.timers.Push(r)
-	if r.idempotent {
+	if r.idempotent || o.NoClaim {
 		m.enqueue(r)
 		return
 	}
--- a/core/request/dfugate/target.go
+++ b/core/request/dfugate/target.go
@@ -39,6 +39,14 @@
 	}
 }
 
+// TargetLoad is what the target itself tells of its load with an answer.
+type TargetLoad struct {
+	Running, Waiting, Slots int
+	// Slowdown is how long work takes on the target's VM at this moment, in
+	// percent of the usual time; zero if the target doesn't tell.
+	Slowdown int
+}
+
 // find returns the running request with the id, or nil for a late report.
 func (m *Machine) find(id dfuident.RequestID) *record {
 	r := m.live[id]
--- a/core/request/dfuoutcome/outcome.go
+++ b/core/request/dfuoutcome/outcome.go
@@ -23,6 +23,7 @@
 	ReasonNone            Reason = ""
 	ReasonBadRequest      Reason = "bad_request"
 	ReasonUnknownService  Reason = "unknown_service"
+	ReasonNoRoute         Reason = "no_route"
 	ReasonNoCatalogue     Reason = "no_catalogue"
 	ReasonNoTarget        Reason = "no_target"
 	ReasonDeadline        Reason = "deadline_exceeded"
--- a/core/version/dfucatalogue/entry.go
+++ b/core/version/dfucatalogue/entry.go
@@ -125,6 +125,21 @@
 	}
 }
 
+// Unbounded returns the entry of a service that operators name only in a table
+// of routes: its requests are bounded by their route and by its targets' slots.
+func Unbounded(s dfuident.Service) Entry {
+	e := Defaults()
+	e.Service = s
+	e.Limits = Limits{
+		Concurrency: MaxConcurrency,
+		Queue:       MaxQueue,
+		BodyBytes:   MaxBodyBytes,
+		AnswerBytes: MaxBodyBytes,
+		Deadline:    MaxDeadline,
+	}
+	return e
+}
+
 // WithDefaults returns the entry with defaults in place of those zero values
 // that are not valid. It serves entries that are built in Go; Parse tells a
 // field that was left out from one that was set to zero.
--- a/core/version/dfuroster/keeper.go
+++ b/core/version/dfuroster/keeper.go
@@ -10,6 +10,7 @@
 	"dragonflyusher/core/process/dfumembership"
 	"dragonflyusher/core/version/dfucatalogue"
 	"dragonflyusher/core/version/dfurecord"
+	"dragonflyusher/core/version/dfuroute"
 )
 
 // watchersPerZone is the number of nodes that watch the store in a zone.
@@ -23,6 +24,10 @@
 	// entry and of its claims.
 	CataloguePrefix string
 	ClaimsPrefix    string
+	// RoutesKey is the key of the table of routes.
+	RoutesKey string
+	// Exchanged are the prefixes of the keys that every node holds a copy of.
+	Exchanged []string
 }
 
 // Keeper keeps the view of one node: it steps the membership and the exchange
@@ -55,7 +60,7 @@
 	k.exchange = dfurecord.NewExchange(
 		dfurecord.Peer{Node: self.Member.Node, Region: self.Place.Region, Address: self.Peer},
 		dfurecord.New(cfg.Limits, k.checkValue),
-		dfurecord.DefaultExchangeConfig(cfg.CataloguePrefix, cfg.ClaimsPrefix), rng,
+		dfurecord.DefaultExchangeConfig(cfg.Exchanged...), rng,
 	)
 	k.takeUpdate(k.membership.Self())
 	k.view = k.view.Apply(k.change)
@@ -269,6 +274,20 @@
 		k.takeEntry(dfuident.Service(s), key)
 	} else if s, ok := strings.CutPrefix(key, k.cfg.ClaimsPrefix); ok {
 		k.takeClaims(dfuident.Service(s), key)
+	} else if key == k.cfg.RoutesKey {
+		k.takeRoutes(key)
+	}
+}
+
+// takeRoutes puts the newest valid table of routes in force. A table that was
+// deleted stays in force, since operators only ever replace it.
+func (k *Keeper) takeRoutes(key string) {
+	r, ok := k.exchange.Set().Get(key)
+	if !ok {
+		return
+	}
+	if table, err := dfuroute.Parse(r.Value); err == nil {
+		k.change.Routes = table
 	}
 }
 
@@ -302,8 +321,12 @@
 	k.change.Claims[s] = claims
 }
 
-// checkValue keeps an invalid catalogue entry from coming into force.
+// checkValue keeps invalid entries and routes from coming into force.
 func (k *Keeper) checkValue(key string, value []byte) error {
+	if key == k.cfg.RoutesKey {
+		_, err := dfuroute.Parse(value)
+		return err
+	}
 	if !strings.HasPrefix(key, k.cfg.CataloguePrefix) {
 		return nil
 	}
--- a/core/version/dfuroster/view.go
+++ b/core/version/dfuroster/view.go
@@ -8,6 +8,7 @@
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/version/dfucatalogue"
+	"dragonflyusher/core/version/dfuroute"
 )
 
 // State is what a node is believed to be.
@@ -67,6 +68,7 @@
 	services map[dfuident.Service][]Node
 	entries  map[dfuident.Service]Entry
 	claims   map[dfuident.Service]Claims
+	routes   *dfuroute.Table
 }
 
 // Change lists what differs in the next version of a view.
@@ -79,6 +81,8 @@
 	Entries map[dfuident.Service]*Entry
 	// Claims holds new claims; nil values remove the service's claims.
 	Claims map[dfuident.Service]*Claims
+	// Routes replaces the table of routes unless it is nil.
+	Routes *dfuroute.Table
 }
 
 // New returns the empty view.
@@ -88,7 +92,7 @@
 
 // IsEmpty reports whether the change changes nothing.
 func (c Change) IsEmpty() bool {
-	return len(c.Nodes) == 0 && len(c.Forgotten) == 0 && len(c.Entries) == 0 && len(c.Claims) == 0
+	return len(c.Nodes) == 0 && len(c.Forgotten) == 0 && len(c.Entries) == 0 && len(c.Claims) == 0 && c.Routes == nil
 }
 
 // Apply returns the next version of the view with a change made. Lists of the
@@ -101,6 +105,9 @@
 	}
 	next.entries = applyMap(v.entries, c.Entries)
 	next.claims = applyMap(v.claims, c.Claims)
+	if c.Routes != nil {
+		next.routes = c.Routes
+	}
 	return &next
 }
 
@@ -134,15 +141,34 @@
 	return nodes
 }
 
-// Entry returns the catalogue entry of a service.
+// Entry returns the catalogue entry of a service. A service that only the table
+// of routes names has an entry without a revision that bounds nothing of its
+// own.
 func (v *View) Entry(s dfuident.Service) (dfucatalogue.Entry, dfuident.Revision, bool) {
-	e, ok := v.entries[s]
-	return e.Entry, e.Revision, ok
+	if e, ok := v.entries[s]; ok {
+		return e.Entry, e.Revision, true
+	}
+	if _, ok := v.routes.Service(s); ok {
+		return dfucatalogue.Unbounded(s), 0, true
+	}
+	return dfucatalogue.Entry{}, 0, false
 }
 
 // Services returns the services that have an entry, sorted.
 func (v *View) Services() []dfuident.Service {
-	return slices.Sorted(maps.Keys(v.entries))
+	services := slices.Collect(maps.Keys(v.entries))
+	if v.routes != nil {
+		for _, s := range v.routes.Services {
+			services = append(services, s.Name)
+		}
+	}
+	slices.Sort(services)
+	return slices.Compact(services)
+}
+
+// Routes returns the table of routes, or nil while none is known.
+func (v *View) Routes() *dfuroute.Table {
+	return v.routes
 }
 
 // Claims returns the ownership record of a service's claims.
--- /dev/null
+++ b/core/version/dfuroute/parse.go
@@ -0,0 +1,211 @@
+package dfuroute
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfufinding"
+	"dragonflyusher/core/process/dfuident"
+
+	"github.com/cockroachdb/errors"
+)
+
+// The greatest values that a table may hold.
+const (
+	maxRoutes   = 100_000
+	maxWeight   = 1_000_000
+	maxAttempts = 1_000
+	maxTimeout  = dfuclock.Hour
+)
+
+// tableFields is a table in JSON.
+type tableFields struct {
+	Version  Version         `json:"version"`
+	Routes   []routeFields   `json:"routes"`
+	Services []serviceFields `json:"services"`
+	Limits   limitFields     `json:"limits"`
+}
+
+type routeFields struct {
+	Name          string            `json:"name"`
+	Host          string            `json:"host"`
+	Prefix        string            `json:"prefix"`
+	Kind          kindField         `json:"kind"`
+	Timeout       dfuclock.Duration `json:"timeout_ms"`
+	TargetLatency dfuclock.Duration `json:"target_latency_ms"`
+	Priority      int               `json:"priority"`
+	Attempts      int               `json:"attempts"`
+	// Service and Split exclude each other.
+	Service dfuident.Service `json:"service,omitempty"`
+	Split   []partFields     `json:"split,omitempty"`
+}
+
+type partFields struct {
+	Service dfuident.Service `json:"service"`
+	Weight  int              `json:"weight"`
+}
+
+type serviceFields struct {
+	Name           dfuident.Service `json:"name"`
+	HealthPath     string           `json:"health_path"`
+	MaxConnections int              `json:"max_connections"`
+}
+
+type limitFields struct {
+	HeaderBytes   dfuident.Bytes    `json:"max_header_bytes"`
+	BodyBytes     dfuident.Bytes    `json:"max_body_bytes"`
+	HeaderTimeout dfuclock.Duration `json:"header_timeout_ms"`
+	IdleTimeout   dfuclock.Duration `json:"idle_timeout_ms"`
+}
+
+// Parse reads a table from JSON and checks it. Fields that this version does
+// not know are ignored, since a later version may have written them. The error
+// is a *dfufinding.Error with every finding at its JSON path, unless the text
+// is no JSON of this shape.
+func Parse(data []byte) (*Table, error) {
+	var fields tableFields
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return nil, errors.Wrap(err, "decode routes")
+	}
+	var findings dfufinding.List
+	checkTable(&fields, &findings)
+	if err := findings.Err(); err != nil {
+		return nil, err
+	}
+	t := fields.table()
+	t.index()
+	return t, nil
+}
+
+// Encode returns the JSON that Parse reads.
+func (t *Table) Encode() ([]byte, error) {
+	fields := tableFields{Version: t.Version, Limits: limitFields(t.Limits)}
+	for i := range t.Routes {
+		fields.Routes = append(fields.Routes, t.Routes[i].fields())
+	}
+	for _, s := range t.Services {
+		fields.Services = append(fields.Services, serviceFields(s))
+	}
+	data, err := json.Marshal(fields)
+	return data, errors.Wrap(err, "encode routes")
+}
+
+func (r *Route) fields() routeFields {
+	f := routeFields{
+		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Kind: kindField{name: r.Kind.String(), kind: r.Kind},
+		Timeout: r.Timeout, TargetLatency: r.TargetLatency, Priority: r.Priority, Attempts: r.Attempts,
+	}
+	if len(r.Split) == 1 {
+		f.Service = r.Split[0].Service
+		return f
+	}
+	for _, p := range r.Split {
+		f.Split = append(f.Split, partFields(p))
+	}
+	return f
+}
+
+func (f *tableFields) table() *Table {
+	t := &Table{Version: f.Version, Limits: Limits(f.Limits)}
+	for i := range f.Routes {
+		t.Routes = append(t.Routes, f.Routes[i].route())
+	}
+	for _, s := range f.Services {
+		t.Services = append(t.Services, Service(s))
+	}
+	return t
+}
+
+func (f *routeFields) route() Route {
+	r := Route{
+		Name: f.Name, Host: strings.ToLower(f.Host), Prefix: f.Prefix, Kind: f.Kind.kind,
+		Timeout: f.Timeout, TargetLatency: f.TargetLatency, Priority: f.Priority, Attempts: max(f.Attempts, 1),
+	}
+	if f.Service != "" {
+		r.Split = []Part{{Service: f.Service, Weight: 1}}
+	}
+	for _, p := range f.Split {
+		r.Split = append(r.Split, Part(p))
+	}
+	return r
+}
+
+// checker collects findings about one table.
+type checker struct {
+	findings *dfufinding.List
+	services map[dfuident.Service]bool
+}
+
+func checkTable(f *tableFields, findings *dfufinding.List) {
+	c := checker{findings: findings, services: make(map[dfuident.Service]bool)}
+	if len(f.Routes) > maxRoutes {
+		findings.Add("routes", "must be at most %d, got %d", maxRoutes, len(f.Routes))
+		return
+	}
+	for i, s := range f.Services {
+		path := "services[" + strconv.Itoa(i) + "]"
+		if s.Name == "" || c.services[s.Name] {
+			findings.Add(path+".name", "must be a name of its own, got %q", s.Name)
+		}
+		c.services[s.Name] = true
+	}
+	places := make(map[string]bool, len(f.Routes))
+	for i := range f.Routes {
+		path := "routes[" + strconv.Itoa(i) + "]"
+		c.route(path, &f.Routes[i])
+		place := strings.ToLower(f.Routes[i].Host) + f.Routes[i].Prefix
+		if places[place] {
+			findings.Add(path+".prefix", "stands twice for host %q", f.Routes[i].Host)
+		}
+		places[place] = true
+	}
+}
+
+func (c *checker) route(path string, r *routeFields) {
+	if r.Host == "" {
+		c.findings.Add(path+".host", "must not be empty")
+	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		c.findings.Add(path+".prefix", "must begin and end with a slash, got %q", r.Prefix)
+	}
+	if r.Kind.kind == nil {
+		c.findings.Add(path+".kind", "is %q, must be idempotent, non_idempotent or upload", r.Kind.name)
+	}
+	c.within(path+".timeout_ms", int64(r.Timeout), 1, int64(maxTimeout))
+	c.within(path+".target_latency_ms", int64(r.TargetLatency), 0, int64(maxTimeout))
+	c.within(path+".attempts", int64(r.Attempts), 0, maxAttempts)
+	c.split(path, r)
+}
+
+func (c *checker) split(path string, r *routeFields) {
+	if (r.Service == "") == (len(r.Split) == 0) {
+		c.findings.Add(path+".service", "must be given, or split, but not both")
+	}
+	if r.Service != "" {
+		c.known(path+".service", r.Service)
+	}
+	total := 0
+	for i, p := range r.Split {
+		part := path + ".split[" + strconv.Itoa(i) + "]"
+		c.known(part+".service", p.Service)
+		c.within(part+".weight", int64(p.Weight), 0, maxWeight)
+		total += p.Weight
+	}
+	if len(r.Split) > 0 && total <= 0 {
+		c.findings.Add(path+".split", "must have a part with a weight above zero")
+	}
+}
+
+func (c *checker) known(path string, s dfuident.Service) {
+	if !c.services[s] {
+		c.findings.Add(path, "names service %q, which the table does not list", s)
+	}
+}
+
+func (c *checker) within(path string, got, low, high int64) {
+	if got < low || got > high {
+		c.findings.Add(path, "must be %d to %d, got %d", low, high, got)
+	}
+}
--- a/io/connection/dfufront/failure_test.go
+++ b/io/connection/dfufront/failure_test.go
@@ -67,7 +67,7 @@
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	f := New(entry, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("admin") }, bodyLimit)
+	f := New(entry, Native{}, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("admin") }, Limits{Header: 4096, Body: bodyLimit})
 	var wg sync.WaitGroup
 	wg.Go(func() { is.NoErr(f.Run(&faulty{Listener: l})) })
 	var conns []net.Conn
@@ -293,7 +293,7 @@
 		if err := ctx.Request.Read(bufio.NewReader(strings.NewReader(raw))); err != nil {
 			return
 		}
-		call, err := parseCall(&ctx)
+		call, err := Native{}.ParseCall(&ctx)
 		if err != nil {
 			return
 		}
--- a/io/connection/dfutarget/client.go
+++ b/io/connection/dfutarget/client.go
@@ -2,38 +2,28 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"net"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
 
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/io/connection/dfudial"
 	"dragonflyusher/io/request/dfumessage"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 )
 
-// The headers that a target receives with a request.
-const (
-	HeaderDeadline    = "Dragonflyusher-Deadline-Ms"
-	HeaderRequestID   = "Dragonflyusher-Request-Id"
-	HeaderAllowance   = "Dragonflyusher-Retry-Allowance"
-	HeaderKey         = "Idempotency-Key"
-	HeaderTraceparent = "Traceparent"
-	// HeaderRetried in an answer says that an extra attempt was made at this
-	// level of the call tree or below.
-	HeaderRetried = "Dragonflyusher-Retried"
-	// HeaderNotRun in a target's answer with status 503 states that the target
-	// did not run the request.
-	HeaderNotRun = "Dragonflyusher-Not-Run"
-)
-
 // dialTimeout bounds the opening of a connection to the local target.
-const dialTimeout = 250 * time.Millisecond
+const dialTimeout = 250 * dfuclock.Millisecond
+
+// asideBody is the size of a request's body from which it is written by a
+// goroutine of its own, since a target may answer before it has read it.
+const asideBody = 16 << 10
 
 var (
 	// ErrNotSent means that the target certainly did not get the request.
@@ -43,13 +33,26 @@
 	ErrInterrupted = errors.New("target gave no whole answer")
 )
 
+// Config describes one target and how it is spoken to.
+type Config struct {
+	Address dfuident.Address
+	// Instance is the id of the target's run; empty if it has none.
+	Instance dfuident.Instance
+	// AnswerLimit is the largest answer that is taken.
+	AnswerLimit dfuident.Bytes
+	// IdleLimit is how many connections are kept open without a request, and
+	// IdleTime for how long.
+	IdleLimit int
+	IdleTime  dfuclock.Duration
+	Dialect   Dialect
+}
+
 // Client sends requests to one target.
 type Client struct {
-	address     dfuident.Address
-	answerLimit dfuident.Bytes
-	mu          sync.Mutex
-	idle        []*conn
-	idleLimit   int
+	cfg       Config
+	mu        sync.Mutex
+	idle      []*conn
+	idleLimit int
 }
 
 // conn is one connection to the target.
@@ -57,29 +60,41 @@
 	net.Conn
 	r *bufio.Reader
 	w *bufio.Writer
+	// idleUntil is when the target may close the connection while it is idle.
+	idleUntil time.Time
+}
+
+// Result is what became of a request that a target answered.
+type Result struct {
+	Answer dfumessage.Answer
+	Remark Remark
 }
 
-// New returns a client of the target at address. Answers above answerLimit are
-// refused; up to idleLimit connections are kept open.
-func New(address dfuident.Address, answerLimit dfuident.Bytes, idleLimit int) *Client {
-	return &Client{address: address, answerLimit: answerLimit, idleLimit: idleLimit}
+// New returns a client of a target.
+func New(cfg Config) *Client {
+	return &Client{cfg: cfg, idleLimit: cfg.IdleLimit}
+}
+
+// Instance returns the id of the target's run.
+func (c *Client) Instance() dfuident.Instance {
+	return c.cfg.Instance
 }
 
 // Run sends the request and returns the target's whole answer. The end of ctx
 // closes the connection. The error is marked ErrNotSent or ErrInterrupted.
-func (c *Client) Run(ctx context.Context, offer *dfumessage.Offer, remaining dfuclock.Duration) (dfumessage.Answer, error) {
+func (c *Client) Run(ctx context.Context, offer *dfumessage.Offer, remaining dfuclock.Duration) (Result, error) {
 	cn, err := c.acquire(ctx, offer.Idempotent)
 	if err != nil {
-		return dfumessage.Answer{}, errors.Mark(err, ErrNotSent)
+		return Result{}, errors.Mark(err, ErrNotSent)
 	}
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
-	answer, reusable, err := c.exchange(cn, offer, remaining)
+	result, reusable, err := c.exchange(cn, offer, remaining)
 	if !stop() || err != nil || !reusable {
 		cn.Close()
 	} else {
-		c.release(cn)
+		c.release(cn, result.Remark.IdleTime)
 	}
-	return answer, err
+	return result, err
 }
 
 // Close closes the idle connections.
@@ -93,24 +108,24 @@
 	c.idleLimit = 0
 }
 
-// acquire returns a connection. A request that must not repeat gets a new one,
-// because an idle one may end just as the request is written, which would leave
-// open whether the target ran it.
+// acquire returns a connection. Unless the dialect's targets tell how long they
+// keep an idle one, a request that must not repeat gets a new one: an idle one
+// may end just as the request is written, which would leave open whether the
+// target ran it.
 func (c *Client) acquire(ctx context.Context, idempotent bool) (*conn, error) {
-	for idempotent {
+	for idempotent || c.cfg.Dialect.StatesIdleTime() {
 		cn := c.pop()
 		if cn == nil {
 			break
 		}
-		if cn.alive() {
+		if time.Now().Before(cn.idleUntil) && cn.alive() {
 			return cn, nil
 		}
 		cn.Close()
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", string(c.address))
+	raw, err := dfudial.New(dialTimeout).DialContext(ctx, "tcp", string(c.cfg.Address))
 	if err != nil {
-		return nil, errors.Wrapf(err, "dial target %s", c.address)
+		return nil, errors.Wrapf(err, "dial target %s", c.cfg.Address)
 	}
 	return &conn{Conn: raw, r: bufio.NewReader(raw), w: bufio.NewWriter(raw)}, nil
 }
@@ -127,7 +142,14 @@
 	return cn
 }
 
-func (c *Client) release(cn *conn) {
+// release keeps a connection for as long as the target keeps it idle, or for
+// the configured time if it doesn't say.
+func (c *Client) release(cn *conn, stated dfuclock.Duration) {
+	idle := c.cfg.IdleTime
+	if stated > 0 {
+		idle = min(idle, stated)
+	}
+	cn.idleUntil = time.Now().Add(idle.Std())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.idle) >= c.idleLimit {
@@ -158,25 +180,85 @@
 	return err == nil && empty
 }
 
+// strayLimit is how many answers to earlier requests are skipped.
+const strayLimit = 4
+
 // exchange writes the request and reads the answer. It reports whether the
 // connection may carry another request.
-func (c *Client) exchange(cn *conn, offer *dfumessage.Offer, remaining dfuclock.Duration) (dfumessage.Answer, bool, error) {
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	fillRequest(req, offer, remaining, string(c.address))
-	// A target may answer, and close, before it has read the whole body.
-	unsent := req.Write(cn.w)
-	if unsent == nil {
-		unsent = cn.w.Flush()
-	}
+func (c *Client) exchange(cn *conn, offer *dfumessage.Offer, remaining dfuclock.Duration) (Result, bool, error) {
+	written := c.write(cn, offer, remaining)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	resp.Header.SetNoDefaultContentType(true)
-	if err := c.readAnswer(resp, cn.r, offer.Method); err != nil {
-		return dfumessage.Answer{}, false, interrupted(errors.CombineErrors(unsent, err))
+	strays := 0
+	remark, err := c.readOwn(resp, cn.r, offer, &strays)
+	if err != nil {
+		cn.Close()
+		return Result{}, false, interrupted(errors.CombineErrors(written.wait(), err))
+	}
+	reusable := strays == 0 && !resp.ConnectionClose() && cn.r.Buffered() == 0
+	select {
+	case <-written.done:
+		reusable = reusable && written.err == nil
+	default:
+		// The target answered before it read the whole request. What is left
+		// of the request must not be followed by another one.
+		reusable = false
+		cn.Close()
+		<-written.done
 	}
-	reusable := unsent == nil && !resp.ConnectionClose() && cn.r.Buffered() == 0
-	return copyAnswer(resp), reusable, nil
+	return Result{Answer: copyAnswer(resp), Remark: remark}, reusable, nil
+}
+
+// writing is a request on its way to the target. err is set once done is closed.
+type writing struct {
+	done chan struct{}
+	err  error
+}
+
+// wait returns what came of the writing.
+func (w *writing) wait() error {
+	<-w.done
+	return w.err
+}
+
+// write writes a request, a long one in a goroutine of its own.
+func (c *Client) write(cn *conn, offer *dfumessage.Offer, remaining dfuclock.Duration) *writing {
+	written := &writing{done: make(chan struct{})}
+	send := func() {
+		req := fasthttp.AcquireRequest()
+		defer fasthttp.ReleaseRequest(req)
+		c.fillRequest(req, offer, remaining)
+		written.err = req.Write(cn.w)
+		if written.err == nil {
+			written.err = cn.w.Flush()
+		}
+		close(written.done)
+	}
+	if len(offer.Body) < asideBody {
+		send()
+	} else {
+		go send()
+	}
+	return written
+}
+
+// readOwn reads the answer to the offer. Answers to earlier requests of the
+// connection, which a target may send late, are skipped and counted.
+func (c *Client) readOwn(resp *fasthttp.Response, r *bufio.Reader, offer *dfumessage.Offer, strays *int) (Remark, error) {
+	for range strayLimit {
+		if err := c.readAnswer(resp, r, offer.Method); err != nil {
+			return Remark{}, err
+		}
+		remark := c.cfg.Dialect.Read(&resp.Header, offer)
+		if !remark.Stray {
+			return remark, remark.Spoiled
+		}
+		*strays++
+		resp.Reset()
+		resp.Header.SetNoDefaultContentType(true)
+	}
+	return Remark{}, errStray
 }
 
 // fasthttp's content length of an answer in chunks, and of one that ends with
@@ -193,6 +275,7 @@
 var (
 	errInterim  = errors.New("target gave no final answer")
 	errNoLength = errors.New("answer has neither a length nor chunks")
+	errStray    = errors.New("target sent only answers to other requests")
 )
 
 // readAnswer reads the final answer. fasthttp's own reading of a whole answer
@@ -205,10 +288,10 @@
 	if method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
 		return nil
 	}
-	if length == lengthUntilClose {
+	if length == lengthUntilClose && !c.cfg.Dialect.EndsWithConnection() {
 		return errNoLength
 	}
-	if err := resp.ReadBody(r, int(c.answerLimit)); err != nil {
+	if err := resp.ReadBody(r, int(c.cfg.AnswerLimit)); err != nil {
 		return err
 	}
 	if length == lengthInChunks {
@@ -236,23 +319,15 @@
 	return errors.Mark(errors.Wrap(err, "exchange with target"), ErrInterrupted)
 }
 
-func fillRequest(req *fasthttp.Request, offer *dfumessage.Offer, remaining dfuclock.Duration, host string) {
+func (c *Client) fillRequest(req *fasthttp.Request, offer *dfumessage.Offer, remaining dfuclock.Duration) {
 	req.Header.SetNoDefaultContentType(true)
 	req.Header.SetMethod(offer.Method)
 	req.SetRequestURI(offer.URI)
-	req.Header.SetHost(host)
+	req.Header.SetHost(cmp.Or(offer.Host, string(c.cfg.Address)))
 	for _, h := range offer.Headers {
 		req.Header.Add(h.Name, h.Value)
 	}
-	req.Header.Set(HeaderDeadline, strconv.FormatInt(int64(remaining), 10))
-	req.Header.Set(HeaderRequestID, offer.ID.String())
-	req.Header.Set(HeaderAllowance, strconv.Itoa(offer.Allowance))
-	if offer.Key != "" {
-		req.Header.Set(HeaderKey, string(offer.Key))
-	}
-	if offer.Traceparent != "" {
-		req.Header.Set(HeaderTraceparent, offer.Traceparent)
-	}
+	c.cfg.Dialect.Fill(&req.Header, offer, c.cfg.Instance, remaining)
 	req.SetBodyRaw(offer.Body)
 }
 
--- a/io/connection/dfutarget/end.go
+++ b/io/connection/dfutarget/end.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"net"
 
-	"dragonflyusher/io/request/dfumessage"
+	"dragonflyusher/io/connection/dfudial"
 
 	"github.com/cockroachdb/errors"
-	"github.com/valyala/fasthttp"
 )
 
 // End says how a request to the target ended.
@@ -23,13 +21,13 @@
 )
 
 // Classify tells the end from what Run returned.
-func Classify(answer dfumessage.Answer, err error) End {
+func Classify(result Result, err error) End {
 	switch {
 	case errors.Is(err, ErrNotSent):
 		return EndNotRun
 	case err != nil:
 		return EndInterrupted
-	case answer.Status == fasthttp.StatusServiceUnavailable && answer.Has(HeaderNotRun):
+	case result.Remark.NotRun:
 		return EndNotRun
 	default:
 		return EndAnswered
@@ -38,8 +36,7 @@
 
 // Reachable reports whether the target accepts connections.
 func (c *Client) Reachable() bool {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(context.Background(), "tcp", string(c.address))
+	conn, err := dfudial.New(dialTimeout).DialContext(context.Background(), "tcp", string(c.cfg.Address))
 	if err != nil {
 		return false
 	}
--- a/io/connection/dfutarget/failure_test.go
+++ b/io/connection/dfutarget/failure_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/io/request/dfumessage"
 
@@ -56,7 +57,7 @@
 			f.wg.Go(func() { f.serve(conn) })
 		}
 	})
-	c := New(dfuident.Address(l.Addr().String()), answerLimit, 4)
+	c := New(Config{Address: dfuident.Address(l.Addr().String()), AnswerLimit: answerLimit, IdleLimit: 4, IdleTime: dfuclock.Minute, Dialect: Native{}})
 	t.Cleanup(func() { c.Close(); l.Close(); f.wg.Wait() })
 	return f, c
 }
@@ -84,7 +85,7 @@
 	}
 }
 
-func run(c *Client, method string, idempotent bool, body []byte, headers ...dfumessage.Header) (dfumessage.Answer, error) {
+func run(c *Client, method string, idempotent bool, body []byte, headers ...dfumessage.Header) (Result, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	offer := &dfumessage.Offer{Method: method, URI: "//a%2Fb/../c?q=%20", Idempotent: idempotent, Body: body, Headers: headers}
@@ -122,11 +123,11 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			_, client := newTarget(t, true, c.answer)
-			answer, err := run(client, c.method, true, nil)
-			is.Equal(answer.Status, c.status)
-			is.Equal(string(answer.Body), c.body)
+			result, err := run(client, c.method, true, nil)
+			is.Equal(result.Answer.Status, c.status)
+			is.Equal(string(result.Answer.Body), c.body)
 			is.Equal(errors.Is(err, ErrInterrupted), c.status == 0)
-			is.Equal(Classify(answer, err) == EndInterrupted, c.status == 0)
+			is.Equal(Classify(result, err) == EndInterrupted, c.status == 0)
 		})
 	}
 }
@@ -158,9 +159,9 @@
 					time.Sleep(time.Millisecond)
 				}
 			}
-			answer, err := run(client, "GET", c.idempotent, nil)
+			result, err := run(client, "GET", c.idempotent, nil)
 			is.NoErr(err)
-			is.Equal(string(answer.Body), "second")
+			is.Equal(string(result.Answer.Body), "second")
 			is.Equal(f.conns.Load(), c.conns)
 		})
 	}
@@ -182,9 +183,9 @@
 	is := is.New(t)
 	f, client := newTarget(t, false)
 	f.Close()
-	answer, err := run(client, "GET", true, nil)
+	result, err := run(client, "GET", true, nil)
 	is.True(errors.Is(err, ErrNotSent))
-	is.Equal(Classify(answer, err), EndNotRun)
+	is.Equal(Classify(result, err), EndNotRun)
 	is.True(!client.Reachable())
 }
 
@@ -192,9 +193,9 @@
 func TestEarlyAnswer(t *testing.T) {
 	is := is.New(t)
 	_, client := newTarget(t, true, "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno")
-	answer, err := run(client, "POST", true, make([]byte, 32<<20), dfumessage.Header{Name: "Early", Value: "1"})
+	result, err := run(client, "POST", true, make([]byte, 32<<20), dfumessage.Header{Name: "Early", Value: "1"})
 	is.NoErr(err)
-	is.Equal(answer.Status, 413)
+	is.Equal(result.Answer.Status, 413)
 }
 
 // Headers pass as they are, but for those of one connection.
@@ -202,9 +203,9 @@
 	is := is.New(t)
 	f, client := newTarget(t, true, "HTTP/1.1 200 OK\r\nServer: s\r\nSet-Cookie: a=1\r\nSet-Cookie: a=2\r\nX-Own: 1\r\nX-Hop: 1\r\n"+
 		"Connection: close, x-hop\r\nKeep-Alive: 1\r\nUpgrade: a\r\nProxy-Authenticate: a\r\nTrailer: T\r\nContent-Length: 0\r\n\r\n")
-	answer, err := run(client, "POST", true, []byte("a"), dfumessage.Header{Name: "Evil", Value: "a\r\nInjected: 1"})
+	result, err := run(client, "POST", true, []byte("a"), dfumessage.Header{Name: "Evil", Value: "a\r\nInjected: 1"})
 	is.NoErr(err)
-	is.Equal(fmt.Sprint(answer.Headers), "[{Server s} {Set-Cookie a=1} {Set-Cookie a=2} {X-Own 1}]")
+	is.Equal(fmt.Sprint(result.Answer.Headers), "[{Server s} {Set-Cookie a=1} {Set-Cookie a=2} {X-Own 1}]")
 	req := <-f.got
 	is.Equal(req.RequestURI, "//a%2Fb/../c?q=%20")
 	is.Equal(req.Header.Get("Injected"), "")
@@ -222,7 +223,7 @@
 		body, _ := io.ReadAll(r.Body)
 		_, _ = w.Write(body)
 	})}
-	client := New(dfuident.Address(l.Addr().String()), 1<<20, 4)
+	client := New(Config{Address: dfuident.Address(l.Addr().String()), AnswerLimit: 1 << 20, IdleLimit: 4, IdleTime: dfuclock.Minute, Dialect: Native{}})
 	var serving, calling sync.WaitGroup
 	serving.Go(func() { _ = server.Serve(l) })
 	for worker := range 16 {
@@ -230,9 +231,9 @@
 			random := rand.New(rand.NewPCG(uint64(worker), 1))
 			for range 50 {
 				body := bytes.Repeat([]byte{byte(random.Uint32())}, random.IntN(20000))
-				answer, err := run(client, "POST", random.IntN(2) == 0, body)
+				result, err := run(client, "POST", random.IntN(2) == 0, body)
 				is.NoErr(err)
-				is.True(bytes.Equal(answer.Body, body))
+				is.True(bytes.Equal(result.Answer.Body, body))
 			}
 		})
 	}
--- a/io/process/dfucontrol/config.go
+++ b/io/process/dfucontrol/config.go
@@ -35,6 +35,8 @@
 	Peer dfuident.Address
 	HTTP dfuident.Address
 
+	// Prefixes are the keys of the store that every node holds a copy of.
+	Prefixes   []string
 	Membership dfumembership.Config
 	// CallTimeout bounds one call to a peer.
 	CallTimeout dfuclock.Duration
@@ -57,6 +59,7 @@
 // DefaultConfig returns the waits and bounds used by the daemon.
 func DefaultConfig() Config {
 	return Config{
+		Prefixes:    []string{dfustore.CataloguePrefix, dfustore.ClaimsPrefix},
 		Membership:  dfumembership.DefaultConfig(),
 		CallTimeout: 900 * dfuclock.Millisecond,
 		WatchWait:   2 * dfuclock.Second,
--- a/io/process/dfucontrol/duty.go
+++ b/io/process/dfucontrol/duty.go
@@ -11,7 +11,6 @@
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/process/dfuring"
 	"dragonflyusher/core/version/dfuroster"
-	"dragonflyusher/io/process/dfustore"
 
 	"go.uber.org/zap"
 )
@@ -116,7 +115,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = d.keepPage(ctx, len(seeds)) })
 	wg.Go(func() { _ = d.read(ctx) })
-	for _, prefix := range prefixes() {
+	for _, prefix := range d.cfg.Prefixes {
 		wg.Go(func() { _ = d.watch(ctx, prefix) })
 	}
 	for range d.cfg.Senders {
@@ -128,11 +127,6 @@
 	return err
 }
 
-// prefixes returns the keys that every node holds.
-func prefixes() []string {
-	return []string{dfustore.CataloguePrefix, dfustore.ClaimsPrefix}
-}
-
 func (d *Duty) jitter(bound dfuclock.Duration) dfuclock.Duration {
 	d.randMu.Lock()
 	defer d.randMu.Unlock()
--- a/io/process/dfucontrol/owner.go
+++ b/io/process/dfucontrol/owner.go
@@ -36,6 +36,8 @@
 		Limits:          dfurecord.DefaultLimits(),
 		CataloguePrefix: dfustore.CataloguePrefix,
 		ClaimsPrefix:    dfustore.ClaimsPrefix,
+		RoutesKey:       dfustore.RoutesKey,
+		Exchanged:       d.cfg.Prefixes,
 	}
 	seed := uint64(d.jitter(maxSeed))
 	rng := rand.New(rand.NewPCG(seed, uint64(member.Incarnation)))
--- a/io/process/dfucontrol/watch.go
+++ b/io/process/dfucontrol/watch.go
@@ -81,7 +81,7 @@
 			return ctx.Err()
 		case <-d.reads:
 		}
-		for _, prefix := range prefixes() {
+		for _, prefix := range d.cfg.Prefixes {
 			if _, err := d.list(ctx, prefix); err != nil {
 				d.storeFailed("list "+prefix, err)
 			}
--- a/io/process/dfunode/admin.go
+++ b/io/process/dfunode/admin.go
@@ -51,9 +51,16 @@
 
 // admin answers the paths below /dragonflyusher/.
 func (n *Node) admin(ctx *fasthttp.RequestCtx) {
-	switch path := strings.TrimPrefix(string(ctx.Path()), "/dragonflyusher/"); path {
+	path := strings.TrimPrefix(string(ctx.Path()), "/dragonflyusher/")
+	if instance, ok := strings.CutPrefix(path, "targets/"); ok {
+		n.adminInstance(ctx, dfuident.Instance(instance))
+		return
+	}
+	switch path {
 	case "target":
 		n.adminTarget(ctx)
+	case "ready":
+		n.adminReady(ctx)
 	case "status":
 		writeJSON(ctx, n.status())
 	case "nodes":
@@ -83,6 +90,38 @@
 	s.target.handle(ctx)
 }
 
+// adminInstance takes what an instance of the target says of itself.
+func (n *Node) adminInstance(ctx *fasthttp.RequestCtx, instance dfuident.Instance) {
+	s := n.started.Load()
+	if s == nil {
+		writeError(ctx, fasthttp.StatusServiceUnavailable, errors.New("the node has not joined yet"))
+		return
+	}
+	s.target.handleInstance(ctx, instance)
+}
+
+// adminReady tells whether callers should use this node.
+func (n *Node) adminReady(ctx *fasthttp.RequestCtx) {
+	if err := n.ready(); err != nil {
+		writeError(ctx, fasthttp.StatusServiceUnavailable, err)
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusOK)
+}
+
+// ready returns why callers should not use this node, or nil.
+func (n *Node) ready() error {
+	switch {
+	case n.stopping.Load():
+		return errors.New("the node is stopping")
+	case n.started.Load() == nil:
+		return errors.New("the node has not joined yet")
+	case n.adapters.Routed && n.control.View().Routes() == nil:
+		return errors.New("the node has no routes yet")
+	}
+	return nil
+}
+
 // adminLevel shows the log level, or sets it on PUT.
 func (n *Node) adminLevel(ctx *fasthttp.RequestCtx) {
 	if ctx.IsPut() {
--- a/io/process/dfunode/fleet_test.go
+++ b/io/process/dfunode/fleet_test.go
@@ -24,6 +24,7 @@
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/io/process/dfusettings"
 	"dragonflyusher/io/process/dfustore"
+	"dragonflyusher/platform"
 	"dragonflyusher/standin/dfucallerstandin"
 	"dragonflyusher/standin/dfurelaystandin"
 	"dragonflyusher/standin/dfutargetstandin"
@@ -400,7 +401,7 @@
 // settle waits until the claim table of a service has not changed for a while,
 // so that each shard has a copy holder that is up to date.
 func (f *fleet) settle(service string) {
-	client := dfustore.New(dfustore.Config{Address: dfuident.Address("127." + f.test + ".0.1:7000")})
+	client := dfuplatform.NewStore(dfuplatform.StoreConfig{Address: dfuident.Address("127." + f.test + ".0.1:7000")})
 	defer client.Close()
 	var last dfuident.Revision
 	quiet := time.Now()
--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -23,16 +23,19 @@
 	"dragonflyusher/core/version/dfuroster"
 	"dragonflyusher/io/connection/dfufront"
 	"dragonflyusher/io/connection/dfupeer"
+	"dragonflyusher/io/connection/dfutarget"
 	"dragonflyusher/io/process/dfucontrol"
 	"dragonflyusher/io/process/dfusettings"
 	"dragonflyusher/io/process/dfustore"
 	"dragonflyusher/io/request/dfuadmission"
 	"dragonflyusher/io/request/dfuclaimer"
 	"dragonflyusher/io/request/dfudispatch"
+	"dragonflyusher/io/request/dfumessage"
 	"dragonflyusher/io/request/dfutrace"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 )
 
@@ -46,6 +49,14 @@
 	handOverWait = 2 * time.Second
 	// leaveWait is how long a stopping node stays to tell others that it left.
 	leaveWait = 1500 * time.Millisecond
+	// routesWatchWait is how long a watch of the routes waits for a change. The
+	// platform counts each call and lets one wait for 30 s.
+	routesWatchWait = 25 * dfuclock.Second
+	// idleTargetTime is how long a connection to the target is kept idle unless
+	// the target states less.
+	idleTargetTime = 30 * dfuclock.Second
+	// adminBodyBytes bounds an announcement.
+	adminBodyBytes = 1 << 20
 )
 
 // errSuperseded ends a run whose node has been started again elsewhere.
@@ -63,10 +74,15 @@
 	peer     net.Listener
 	pool     *dfupeer.Pool
 	server   *dfupeer.Server
-	store    *dfustore.Client
+	store    dfustore.Store
+	adapters Adapters
+	admins   []*fasthttp.Server
+	adminOn  []net.Listener
 	control  *dfucontrol.Duty
 	front    *dfufront.Front
 	started  atomic.Pointer[started]
+	// stopping says that the node is about to end.
+	stopping atomic.Bool
 	// superseded ends when a later run of this node is found to live.
 	superseded chan struct{}
 }
@@ -77,14 +93,27 @@
 	gate   *dfuadmission.Duty
 	entry  *dfudispatch.Duty
 	target *localTarget
+	// claims is nil unless keys of non-idempotent services are claimed.
 	claims *dfuclaimer.Duty
 	news   *newsDuty
 }
 
+// Adapters are how a node speaks to what is around it.
+type Adapters struct {
+	Store   dfustore.Store
+	Callers dfufront.Dialect
+	Targets dfutarget.Dialect
+	// Routed says that operators give routes, whose requests run at most once
+	// for each attempt of their caller, so that no keys are claimed.
+	Routed bool
+}
+
 // New opens the node's listeners and prepares its duties.
-func New(ctx context.Context, settings dfusettings.Settings, log *zap.Logger, level zap.AtomicLevel) (*Node, error) {
+func New(ctx context.Context, settings dfusettings.Settings, adapters Adapters, log *zap.Logger, level zap.AtomicLevel) (*Node, error) {
 	n := &Node{
 		settings:   settings,
+		store:      adapters.Store,
+		adapters:   adapters,
 		log:        log,
 		level:      level,
 		clock:      dfuclock.New(),
@@ -105,9 +134,8 @@
 		return nil, err
 	}
 	n.tracer = tracer
-	n.store = dfustore.New(dfustore.Config{Address: settings.Store.Address, Timeout: settings.Store.Timeout, Region: settings.Region})
 	n.control = n.newControl()
-	n.front = dfufront.New(n, n.admin, settings.Limits.RequestBody)
+	n.front = n.newFront()
 	n.server, err = dfupeer.NewServer(n.peer)
 	if err != nil {
 		return nil, err
@@ -137,6 +165,13 @@
 	var wg sync.WaitGroup
 	failed := make(chan error, 1)
 	wg.Go(func() { n.pool.Run(life) })
+	for i, l := range n.adminOn {
+		wg.Go(func() {
+			if err := n.admins[i].Serve(l); err != nil {
+				n.log.Error("serve operators", zap.Error(err))
+			}
+		})
+	}
 	wg.Go(func() {
 		if err := n.front.Run(n.http); err != nil {
 			failed <- err
@@ -155,6 +190,8 @@
 	case <-n.superseded:
 		err = errSuperseded
 	}
+	n.stopping.Store(true)
+	n.front.CloseConnections()
 	n.leave(s)
 	err = errors.CombineErrors(err, n.front.Close())
 	if s != nil {
@@ -162,6 +199,9 @@
 		s.gate.Close()
 	}
 	end()
+	for _, admin := range n.admins {
+		err = errors.CombineErrors(err, admin.Shutdown())
+	}
 	n.server.Close()
 	n.pool.Close()
 	wg.Wait()
@@ -194,12 +234,49 @@
 		return errors.Wrap(err, "listen.peer")
 	}
 	n.http, n.peer = callers, peers
+	for _, address := range n.settings.Listen.Admin {
+		l, err := cfg.Listen(ctx, "tcp", string(address))
+		if err != nil {
+			return errors.Wrap(err, "listen.admin")
+		}
+		n.adminOn = append(n.adminOn, l)
+		n.admins = append(n.admins, &fasthttp.Server{
+			Handler:               n.admin,
+			MaxRequestBodySize:    adminBodyBytes,
+			NoDefaultServerHeader: true,
+			CloseOnShutdown:       true,
+			Logger:                quiet{},
+		})
+	}
 	return nil
 }
 
+// quiet drops fasthttp's own lines, which are not JSON.
+type quiet struct{}
+
+// Printf drops the line.
+func (quiet) Printf(string, ...any) {}
+
+// newFront returns the front of callers. It serves the operators' pages too
+// unless they have addresses of their own.
+func (n *Node) newFront() *dfufront.Front {
+	admin := n.admin
+	if len(n.settings.Listen.Admin) > 0 {
+		admin = nil
+	}
+	return dfufront.New(n, n.adapters.Callers, admin, dfufront.Limits{
+		Header: n.settings.Limits.RequestHeader,
+		Body:   n.settings.Limits.RequestBody,
+	})
+}
+
 func (n *Node) newControl() *dfucontrol.Duty {
 	cfg := dfucontrol.DefaultConfig()
 	cfg.Node = n.settings.Node
+	if n.adapters.Routed {
+		cfg.Prefixes = []string{dfustore.RoutesKey}
+		cfg.WatchWait = routesWatchWait
+	}
 	cfg.Place = n.place()
 	callers, peers := n.Addresses()
 	cfg.HTTP = cmp.Or(n.settings.Advertise.HTTP, callers)
@@ -238,15 +315,17 @@
 		}
 	}
 	s := n.assemble(n.control.Member())
-	err := errors.CombineErrors(
-		n.server.Register("Gate", &receiver{duty: s.gate, view: n.control.View}),
-		n.server.Register(dfuclaimer.ReceiverName, s.claims.Receiver()),
-	)
+	err := n.server.Register("Gate", &receiver{duty: s.gate, view: n.control.View})
+	if s.claims != nil {
+		err = errors.CombineErrors(err, n.server.Register(dfuclaimer.ReceiverName, s.claims.Receiver()))
+	}
 	if err != nil {
 		n.log.Error("register receivers", zap.Error(err))
 		return nil
 	}
-	wg.Go(func() { s.claims.Run(n.untilSuperseded(life)) })
+	if s.claims != nil {
+		wg.Go(func() { s.claims.Run(n.untilSuperseded(life)) })
+	}
 	wg.Go(func() { s.news.run(life) })
 	wg.Go(n.server.Run)
 	wg.Go(func() { s.target.run(life.Done()) })
@@ -257,7 +336,13 @@
 
 // assemble makes the duties of a node with a known incarnation.
 func (n *Node) assemble(self dfuident.Member) *started {
-	claims := n.newClaims(self)
+	s := &started{self: self}
+	var claims dfuadmission.Claims = noClaims{}
+	var owners dfudispatch.Owners = noClaims{}
+	if !n.adapters.Routed {
+		s.claims = n.newClaims(self)
+		claims, owners = s.claims, s.claims
+	}
 	news := &newsDuty{
 		log:   n.log,
 		pool:  n.pool,
@@ -277,6 +362,7 @@
 		Tell:    news.tell,
 	})
 	chooser := dfuchoice.New(dfuchoice.DefaultSettings(), newRand())
+	random := newRand()
 	entry := dfudispatch.New(dfudispatch.Deps{
 		Self:    self,
 		Place:   n.place(),
@@ -285,19 +371,68 @@
 		Metrics: n.metrics,
 		Tracer:  n.tracer,
 		Gates:   gates{pool: n.pool, local: &receiver{duty: gate, view: n.control.View}},
-		Owners:  claims,
+		Owners:  owners,
 		Chooser: chooser,
 		Machine: dfuattempt.New(dfuattempt.DefaultConfig(), self, n.place(), chooser, dfubudget.NewRetryBudget()),
+		Rand:    n.draw(random),
+		Local:   n.localService,
 	})
 	target := &localTarget{
 		self:    self,
 		clock:   n.clock,
 		log:     n.log,
 		gate:    gate,
-		limit:   n.settings.Limits.Answer,
 		publish: n.announce,
+		expect:  n.settings.Target,
+		cfg: dfutarget.Config{
+			AnswerLimit: n.settings.Limits.Answer,
+			IdleLimit:   idleTargetConns,
+			IdleTime:    idleTargetTime,
+			Dialect:     n.adapters.Targets,
+		},
+	}
+	s.gate, s.entry, s.target, s.news = gate, entry, target, news
+	return s
+}
+
+// draw returns a function that draws numbers from 0 up to 1, for any goroutine.
+func (n *Node) draw(random *rand.Rand) func() float64 {
+	var mu sync.Mutex
+	return func() float64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return random.Float64()
+	}
+}
+
+// localService returns the service of the target beside the node.
+func (n *Node) localService() dfuident.Service {
+	if n.settings.Target.Service != "" {
+		return n.settings.Target.Service
+	}
+	if s := n.started.Load(); s != nil {
+		return s.target.service()
 	}
-	return &started{self: self, gate: gate, entry: entry, target: target, claims: claims, news: news}
+	return ""
+}
+
+// noClaims stands in where no keys are claimed.
+type noClaims struct{}
+
+// Claim denies the claim.
+func (noClaims) Claim(_ dfuident.RequestID, _ dfuident.Service, _ dfuident.Key, _ dfuclock.Duration, decide func(dfuadmission.Verdict)) {
+	decide(dfuadmission.Verdict{Outcome: dfuoutcome.NotRun, Reason: dfuoutcome.ReasonNotOwner})
+}
+
+// Finished does nothing.
+func (noClaims) Finished(dfuident.RequestID, dfuident.Service, dfuident.Key, *dfumessage.Answer) {}
+
+// Released does nothing.
+func (noClaims) Released(dfuident.RequestID, dfuident.Service, dfuident.Key) {}
+
+// Owner knows no owner.
+func (noClaims) Owner(*dfuroster.View, dfuident.Service, dfuident.Key) (dfuident.Member, bool) {
+	return dfuident.Member{}, false
 }
 
 func (n *Node) newClaims(self dfuident.Member) *dfuclaimer.Duty {
@@ -330,7 +465,9 @@
 	if s == nil {
 		return
 	}
-	s.claims.SetView(view)
+	if s.claims != nil {
+		s.claims.SetView(view)
+	}
 	s.entry.SetView(view)
 	s.target.setView(view)
 }
@@ -346,15 +483,23 @@
 	for time.Now().Before(deadline) && !s.gate.Status().Drained {
 		time.Sleep(drainPoll)
 	}
+	n.leaveClaims(s)
+	n.control.Announce(dfucontrol.Announcement{Left: true})
+	time.Sleep(leaveWait)
+	n.log.Info("left", zap.Stringer("member", s.self))
+}
+
+// leaveClaims hands the claims of a stopping node over.
+func (n *Node) leaveClaims(s *started) {
+	if s.claims == nil {
+		return
+	}
 	s.claims.Leave()
 	select {
 	case <-s.claims.Left():
 	case <-time.After(handOverWait):
 		n.log.Warn("claims were not handed over in time")
 	}
-	n.control.Announce(dfucontrol.Announcement{Left: true})
-	time.Sleep(leaveWait)
-	n.log.Info("left", zap.Stringer("member", s.self))
 }
 
 // controlCaller sends control traffic over its own lane.
--- a/io/process/dfunode/target.go
+++ b/io/process/dfunode/target.go
@@ -14,8 +14,10 @@
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/request/dfugate"
 	"dragonflyusher/core/version/dfucatalogue"
+	"dragonflyusher/core/version/dfuinstance"
 	"dragonflyusher/core/version/dfuroster"
 	"dragonflyusher/io/connection/dfutarget"
+	"dragonflyusher/io/process/dfusettings"
 	"dragonflyusher/io/request/dfuadmission"
 
 	"github.com/cockroachdb/errors"
@@ -43,6 +45,15 @@
 	Draining bool             `json:"draining"`
 }
 
+// instance returns the announcement as the node keeps it.
+func (a Announcement) instance() dfuinstance.Announcement {
+	i := dfuinstance.Announcement{Service: a.Service, Address: a.Address, Slots: a.Slots, Draining: a.Draining}
+	if a.Cold {
+		i.ColdFor = coldFor
+	}
+	return i
+}
+
 // announced is what other nodes are told about the local target.
 type announced struct {
 	Service  dfuident.Service
@@ -59,12 +70,15 @@
 	clock   dfuclock.Clock
 	log     *zap.Logger
 	gate    *dfuadmission.Duty
-	limit   dfuident.Bytes
+	cfg     dfutarget.Config
+	expect  dfusettings.Target
 	publish func(announced)
 
-	mu       sync.Mutex
+	mu     sync.Mutex
+	ledger dfuinstance.Ledger
+	// present is whether current, the newest announcement, still counts.
 	present  bool
-	current  Announcement
+	current  dfuinstance.Announcement
 	heard    dfuclock.Time
 	operator bool
 	stopping bool
@@ -73,25 +87,72 @@
 	budget   dfubudget.Budget
 }
 
-// announce takes an announcement.
-func (t *localTarget) announce(a Announcement) {
+// announceNext takes an announcement of a target that doesn't number them: each
+// counts as newer than the one before.
+func (t *localTarget) announceNext(a dfuinstance.Announcement) {
+	t.mu.Lock()
+	a.Sequence = t.current.Sequence + 1
+	t.mu.Unlock()
+	t.announce(a)
+}
+
+// announce takes an announcement unless a later one has been heard.
+func (t *localTarget) announce(a dfuinstance.Announcement) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	verdict := t.ledger.Take(a)
+	if verdict == dfuinstance.Late {
+		t.log.Info("late announcement ignored", zap.String("instance", string(a.Instance)),
+			zap.Int64("born", int64(a.Born)), zap.Uint64("sequence", a.Sequence))
+		return
+	}
 	t.heard = t.clock.Now()
-	fresh := !t.present || t.current.Address != a.Address || t.current.Service != a.Service || t.current.Slots != a.Slots
-	changed := fresh || t.current != a
-	t.present = true
+	old := t.current
 	t.current = a
-	if fresh {
-		t.log.Info("target announced", zap.String("service", string(a.Service)), zap.String("address", string(a.Address)), zap.Int("slots", a.Slots))
-		client := dfutarget.New(a.Address, t.limit, idleTargetConns)
-		t.gate.SetTarget(client, dfugate.TargetAnnounced{Service: a.Service, Slots: a.Slots, Cold: a.Cold})
+	event := dfugate.TargetAnnounced{Service: a.Service, Slots: a.Slots, Cold: a.ColdFor > 0 && a.Instance == ""}
+	if verdict == dfuinstance.Fresh || !t.present || old.Address != a.Address || old.Service != a.Service || old.Slots != a.Slots {
+		t.log.Info("target announced", zap.String("service", string(a.Service)), zap.String("address", string(a.Address)),
+			zap.String("instance", string(a.Instance)), zap.Int("slots", a.Slots), zap.Bool("draining", a.Draining))
+		cfg := t.cfg
+		cfg.Address = a.Address
+		cfg.Instance = a.Instance
+		t.present = true
+		t.gate.SetTarget(dfutarget.New(cfg), event)
+		t.settle()
+		return
 	}
-	if changed {
+	if a.Instance != "" {
+		// The gate may have given the target up meanwhile.
+		t.gate.Notify(event)
+	}
+	if old.Draining != a.Draining || (old.ColdFor > 0) != (a.ColdFor > 0) {
 		t.settle()
 	}
 }
 
+// leave takes the word that an instance ends. Its requests in progress go on.
+func (t *localTarget) leave(instance dfuident.Instance, now dfuinstance.UnixMs) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.ledger.Leave(instance, now) {
+		return
+	}
+	t.log.Info("target left", zap.String("instance", string(instance)))
+	t.present = false
+	t.gate.Notify(dfugate.TargetWithdrawn{})
+	t.settle()
+}
+
+// service returns the service of the target, or nothing if there is none.
+func (t *localTarget) service() dfuident.Service {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.present {
+		return ""
+	}
+	return t.current.Service
+}
+
 // sweep withdraws a target that has not announced itself for a while.
 func (t *localTarget) sweep() {
 	t.mu.Lock()
@@ -101,7 +162,8 @@
 	}
 	t.log.Warn("target withdrawn", zap.String("service", string(t.current.Service)), zap.String("reason", "no announcement"))
 	t.present = false
-	t.gate.SetTarget(nil, dfugate.TargetWithdrawn{})
+	t.ledger.Lose()
+	t.gate.Notify(dfugate.TargetWithdrawn{})
 	t.settle()
 }
 
@@ -174,9 +236,7 @@
 	if t.present {
 		out.Service = t.current.Service
 		out.Slots = t.current.Slots
-		if t.current.Cold {
-			out.ColdFor = coldFor
-		}
+		out.ColdFor = t.current.ColdFor
 	}
 	t.publish(out)
 }
@@ -202,7 +262,7 @@
 		writeError(ctx, fasthttp.StatusBadRequest, err)
 		return
 	}
-	t.announce(a)
+	t.announceNext(a.instance())
 	status := t.gate.Status()
 	state := "serving"
 	switch {
--- a/io/process/dfuoperator/operator.go
+++ b/io/process/dfuoperator/operator.go
@@ -25,12 +25,17 @@
 	stdout      io.Writer
 	stderr      io.Writer
 	newChangeID func() dfuident.ChangeID
+	openStore   OpenStore
 }
 
+// OpenStore returns the store at an address, whose calls take up to a time; zero
+// stands for a usual one.
+type OpenStore func(address dfuident.Address, timeout dfuclock.Duration) dfustore.Store
+
 // New returns an Operator that names each change by newChangeID, whose results
 // must never repeat.
-func New(stdout, stderr io.Writer, newChangeID func() dfuident.ChangeID) *Operator {
-	return &Operator{stdout: stdout, stderr: stderr, newChangeID: newChangeID}
+func New(stdout, stderr io.Writer, newChangeID func() dfuident.ChangeID, openStore OpenStore) *Operator {
+	return &Operator{stdout: stdout, stderr: stderr, newChangeID: newChangeID, openStore: openStore}
 }
 
 // options are the flags that all commands share.
@@ -77,7 +82,8 @@
 	json        bool
 	settings    settings
 	newChangeID func() dfuident.ChangeID
-	client      *dfustore.Client
+	openStore   OpenStore
+	client      dfustore.Store
 }
 
 // Run runs the command that the arguments name. It prints every error that
@@ -121,6 +127,7 @@
 		json:        global.JSON,
 		settings:    loaded,
 		newChangeID: o.newChangeID,
+		openStore:   o.openStore,
 	}
 	defer s.close()
 	return active.run(ctx, s)
@@ -165,12 +172,12 @@
 }
 
 // store returns the client of the store.
-func (s *session) store() (*dfustore.Client, error) {
+func (s *session) store() (dfustore.Store, error) {
 	if s.settings.Store == "" {
 		return nil, badInput("set --store, or store in the settings file")
 	}
 	if s.client == nil {
-		s.client = dfustore.New(dfustore.Config{Address: s.settings.Store, Timeout: s.settings.Timeout})
+		s.client = s.openStore(s.settings.Store, s.settings.Timeout)
 	}
 	return s.client, nil
 }
--- a/io/process/dfuoperator/race_test.go
+++ b/io/process/dfuoperator/race_test.go
@@ -31,7 +31,7 @@
 	run := func(stdout io.Writer, args ...string) dfuoperator.ExitStatus {
 		id := func() dfuident.ChangeID { return dfuident.ChangeID(uuid.NewString()) }
 		args = append([]string{"--store", string(server.Address())}, args...)
-		return dfuoperator.New(stdout, io.Discard, id).Run(context.Background(), args)
+		return dfuoperator.New(stdout, io.Discard, id, openStore).Run(context.Background(), args)
 	}
 	is.Equal(run(io.Discard, "apply", "--create", "../../../deploy/pilzgarten/catalogue/lager.json"), dfuoperator.ExitOK)
 
--- a/io/process/dfuoperator/session_test.go
+++ b/io/process/dfuoperator/session_test.go
@@ -13,9 +13,12 @@
 	"testing"
 	"time"
 
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/io/process/dfustore"
+
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/io/process/dfuoperator"
-	"dragonflyusher/io/process/dfustore"
+	"dragonflyusher/platform"
 	"dragonflyusher/standin/dfustorestandin"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -77,7 +80,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), hangGuard)
 	defer cancel()
-	status := dfuoperator.New(&stdout, &stderr, id).Run(ctx, arguments)
+	status := dfuoperator.New(&stdout, &stderr, id, openStore).Run(ctx, arguments)
 	text := fmt.Sprintf("> dragonflyusher %s\n%s%s", strings.Join(args[1:], " "), stdout.String(), stderr.String())
 	text = strings.ReplaceAll(text, ts.MkAbs(".")+"/", "")
 	if status != dfuoperator.ExitOK {
@@ -111,7 +114,7 @@
 
 // putRaw writes a value past the operators' client: "put KEY VALUE".
 func putRaw(ts *testscript.TestScript, _ bool, args []string) {
-	client := dfustore.New(dfustore.Config{Address: store(ts).Address()})
+	client := dfuplatform.NewStore(dfuplatform.StoreConfig{Address: store(ts).Address()})
 	defer client.Close()
 	record, err := client.Get(context.Background(), args[0])
 	ts.Check(err)
@@ -124,7 +127,7 @@
 func countCalls(ts *testscript.TestScript, _ bool, _ []string) {
 	c := store(ts).Counts()
 	appendTranscript(ts, fmt.Sprintf("store calls: get %d, list %d, watch %d, compare-and-swap %d\n",
-		c.Get, c.List, c.Watch, c.CompareAndSwap))
+		c.Get, c.List, c.Watch, c.Commit))
 }
 
 // startNode serves the files of a directory as a node and sets a variable to
@@ -141,3 +144,7 @@
 	ts.Defer(server.Close)
 	ts.Setenv(args[0], server.Listener.Addr().String())
 }
+
+func openStore(address dfuident.Address, timeout dfuclock.Duration) dfustore.Store {
+	return dfuplatform.NewStore(dfuplatform.StoreConfig{Address: address, Timeout: timeout})
+}
--- a/io/process/dfuoperator/watch.go
+++ b/io/process/dfuoperator/watch.go
@@ -31,7 +31,7 @@
 // watcher follows the catalogue.
 type watcher struct {
 	session *session
-	store   *dfustore.Client
+	store   dfustore.Store
 	service dfuident.Service
 	after   dfuident.Revision
 	known   map[dfuident.Service]entryVersion
--- a/io/process/dfusettings/settings.go
+++ b/io/process/dfusettings/settings.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"os"
+	"strconv"
 
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfudecode"
@@ -19,6 +20,7 @@
 	defaultBodyBytes    dfuident.Bytes    = 32 << 20
 	defaultAnswerBytes  dfuident.Bytes    = 32 << 20
 	defaultInFlight                       = 4096
+	defaultHeaderBytes  dfuident.Bytes    = 8 << 10
 	defaultLevel                          = "info"
 )
 
@@ -35,15 +37,47 @@
 	Log       Log    `json:"log"`
 	Trace     Trace  `json:"trace"`
 	Limits    Limits `json:"limits"`
+	// Protocol is how callers and targets are spoken to.
+	Protocol Protocol `json:"protocol"`
+	Target   Target   `json:"target"`
+	Retry    Retry    `json:"retry"`
 	// DrainTimeout bounds how long a planned stop waits for requests in
 	// progress, in ms.
 	DrainTimeout dfuclock.Duration `json:"drain_timeout_ms"`
 }
 
+// Protocol is how callers and targets are spoken to.
+type Protocol string
+
+const (
+	// ProtocolNative is the protocol of docs/HTTP.md.
+	ProtocolNative Protocol = "native"
+	// ProtocolPlatform is the protocol of the users' platform.
+	ProtocolPlatform Protocol = "platform"
+)
+
+// Target is the target that is expected beside the node. What is left out may
+// be anything.
+type Target struct {
+	Service dfuident.Service `json:"service"`
+	Address dfuident.Address `json:"address"`
+}
+
+// Retry bounds the extra attempts of the whole fleet for one service in any
+// window: so many percent of its requests and a reserve besides.
+type Retry struct {
+	Ratio   float64           `json:"ratio"`
+	Reserve float64           `json:"reserve"`
+	Window  dfuclock.Duration `json:"window_ms"`
+}
+
 // Listen holds the addresses that the node listens on and is reached at.
 type Listen struct {
 	HTTP dfuident.Address `json:"http"`
 	Peer dfuident.Address `json:"peer"`
+	// Admin is where the operators' pages and the target's announcements are
+	// served. If it is empty, they are served at HTTP.
+	Admin []dfuident.Address `json:"admin"`
 }
 
 // Store locates the platform's key-value service.
@@ -76,6 +110,11 @@
 	// InFlight is the number of requests that the node accepts from callers
 	// at one time.
 	InFlight int `json:"in_flight"`
+	// RequestHeader is the largest header of a caller's request.
+	RequestHeader dfuident.Bytes `json:"request_header_bytes"`
+	// MemoryMB is the memory that the process may take in MB; zero if nothing
+	// bounds it.
+	MemoryMB int `json:"memory_mb"`
 }
 
 // Load reads the settings file at path and returns them with defaults filled
@@ -105,10 +144,13 @@
 		Store:        Store{Timeout: defaultStoreTimeout},
 		Log:          Log{Level: defaultLevel},
 		DrainTimeout: defaultDrainTimeout,
+		Protocol:     ProtocolNative,
 		Limits: Limits{
 			RequestBody: defaultBodyBytes,
 			Answer:      defaultAnswerBytes,
 			InFlight:    defaultInFlight,
+
+			RequestHeader: defaultHeaderBytes,
 		},
 	}
 }
@@ -127,11 +169,25 @@
 	c.address("listen.peer", s.Listen.Peer)
 	c.optionalAddress("advertise.http", s.Advertise.HTTP)
 	c.optionalAddress("advertise.peer", s.Advertise.Peer)
+	for i, a := range s.Listen.Admin {
+		c.address("listen.admin["+strconv.Itoa(i)+"]", a)
+	}
 	c.address("store.address", s.Store.Address)
+	c.optionalAddress("target.address", s.Target.Address)
+	if s.Protocol != ProtocolNative && s.Protocol != ProtocolPlatform {
+		c.add("protocol", "is %q, must be %q or %q", s.Protocol, ProtocolNative, ProtocolPlatform)
+	}
+	if s.Retry.Ratio < 0 || s.Retry.Reserve < 0 || s.Retry.Window < 0 {
+		c.add("retry", "must not hold a negative number")
+	}
+	if s.Limits.MemoryMB < 0 {
+		c.add("limits.memory_mb", "is %d, must not be negative", s.Limits.MemoryMB)
+	}
 	c.positive("store.timeout_ms", int64(s.Store.Timeout))
 	c.positive("drain_timeout_ms", int64(s.DrainTimeout))
 	c.positive("limits.request_body_bytes", int64(s.Limits.RequestBody))
 	c.positive("limits.answer_bytes", int64(s.Limits.Answer))
+	c.positive("limits.request_header_bytes", int64(s.Limits.RequestHeader))
 	c.positive("limits.in_flight", int64(s.Limits.InFlight))
 	switch s.Log.Level {
 	case "debug", "info", "warn", "error":
--- a/io/process/dfustore/record.go
+++ b/io/process/dfustore/record.go
@@ -19,6 +19,8 @@
 	ClaimsPrefix = "claims/"
 	// ZonePrefix precedes "region/zone" in the key of a zone's nodes.
 	ZonePrefix = "zone/"
+	// RoutesKey is the key of the table of routes, which only operators write.
+	RoutesKey = "routes"
 )
 
 // CatalogueKey returns the key of a service's entry.
@@ -39,9 +41,9 @@
 // LeaseID names a lease. Zero means no lease.
 type LeaseID uint64
 
-// Record is a key with its value. Revision is zero for a key that was never
-// written. A deleted key has no value but the revision of its delete, until
-// the store forgets it.
+// Record is a key with its value. Revision is zero for a key that does not
+// exist. A watch tells of a deleted key by a record without a value that has the
+// revision of the delete.
 type Record struct {
 	Key      string            `json:"key"`
 	Value    []byte            `json:"value,omitempty"`
--- a/io/request/dfuadmission/claim.go
+++ b/io/request/dfuadmission/claim.go
@@ -53,7 +53,7 @@
 
 // settleClaim tells the claims that a granted request ran.
 func (d *Duty) settleClaim(r *run, outcome dfuoutcome.Outcome) {
-	if r.event.Idempotent || !r.granted || outcome == dfuoutcome.NotRun {
+	if r.event.Idempotent || r.event.NoClaim || !r.granted || outcome == dfuoutcome.NotRun {
 		return
 	}
 	var answer *dfumessage.Answer
--- a/io/request/dfuadmission/offer.go
+++ b/io/request/dfuadmission/offer.go
@@ -193,6 +193,7 @@
 		Fingerprint: fingerprint(offer),
 		Remaining:   offer.Remaining,
 		Idempotent:  offer.Idempotent,
+		NoClaim:     offer.NoClaim,
 		NoWait:      offer.NoWait,
 		Settled:     offer.Settled,
 	}
--- a/io/request/dfuadmission/target.go
+++ b/io/request/dfuadmission/target.go
@@ -5,7 +5,8 @@
 
 	"dragonflyusher/core/request/dfugate"
 	"dragonflyusher/io/connection/dfutarget"
-	"dragonflyusher/io/request/dfumessage"
+
+	"go.uber.org/zap"
 )
 
 // SetTarget puts a new local target in place; client is nil if it has gone.
@@ -32,15 +33,15 @@
 // runOnTarget runs an offer on the target and reports its end.
 func (d *Duty) runOnTarget(r *run, o order) {
 	defer r.cancel()
-	var answer dfumessage.Answer
+	var result dfutarget.Result
 	var event dfugate.Event = dfugate.TargetFailed{ID: r.offer.ID, Refused: true}
 	crashed := false
 	if o.client != nil {
 		var err error
-		answer, err = o.client.Run(o.ctx, r.offer, o.remaining)
-		switch dfutarget.Classify(answer, err) {
+		result, err = o.client.Run(o.ctx, r.offer, o.remaining)
+		switch dfutarget.Classify(result, err) {
 		case dfutarget.EndAnswered:
-			event = dfugate.TargetDone{ID: r.offer.ID, Failed: answer.BlamesTarget()}
+			event = dfugate.TargetDone{ID: r.offer.ID, Failed: result.Answer.BlamesTarget()}
 		case dfutarget.EndNotRun:
 		case dfutarget.EndInterrupted:
 			crashed = o.ctx.Err() == nil && !o.client.Reachable()
@@ -49,8 +50,13 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r.answer = answer
+	r.answer = result.Answer
 	d.step(event)
+	if result.Remark.Replaced && o.client == d.client {
+		d.deps.Log.Warn("another instance answers at the target's address",
+			zap.String("instance", string(o.client.Instance())))
+		d.step(dfugate.TargetWithdrawn{})
+	}
 	if crashed {
 		d.step(dfugate.TargetCrashed{})
 	}
--- a/io/request/dfudispatch/attempt.go
+++ b/io/request/dfudispatch/attempt.go
@@ -109,6 +109,8 @@
 		Settled:     a.Settled,
 		Allowance:   int(a.Allowance),
 		Idempotent:  r.event.Idempotent,
+		NoClaim:     r.noClaim,
+		Class:       r.event.Class,
 		NoWait:      !a.Wait,
 		From:        d.deps.Place.Region,
 		Bulk:        r.bulk,
@@ -117,7 +119,12 @@
 		URI:         r.call.URI,
 		Headers:     r.call.Headers,
 		Body:        r.call.Body,
-		Checksum:    dfumessage.Sum(a.ID, r.call.Body),
+
+		CallerRequest: r.call.CallerRequest,
+		CallerService: d.deps.Local(),
+		Host:          r.call.Host,
+
+		Checksum: dfumessage.Sum(a.ID, r.call.Body),
 	}
 }
 
--- a/io/request/dfudispatch/duty.go
+++ b/io/request/dfudispatch/duty.go
@@ -55,6 +55,10 @@
 	Owners  Owners
 	Chooser Chooser
 	Machine *dfuattempt.Machine
+	// Rand draws the part of a split route, from 0 up to but without 1.
+	Rand func() float64
+	// Local returns the service of the target beside this node.
+	Local func() dfuident.Service
 }
 
 // Duty runs the entry side of one node. The machine is stepped under a mutex by
--- a/io/request/dfudispatch/serve.go
+++ b/io/request/dfudispatch/serve.go
@@ -1,7 +1,6 @@
 package dfudispatch
 
 import (
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +21,8 @@
 	reply chan dfufront.Result
 	sent  []dfuident.RequestID
 	bulk  bool
+	// noClaim says that the request runs at most once for its id alone.
+	noClaim bool
 	// own is the attempt that the call's goroutine is to send itself.
 	own *outgoing
 }
@@ -53,6 +54,9 @@
 
 // serve tries the call, and tries it again while no node can take it just now.
 func (d *Duty) serve(call dfufront.Call, c *caller) dfufront.Result {
+	if refused := d.route(&call); refused != nil {
+		return *refused
+	}
 	deadline := d.deps.Clock.Now().Add(call.Remaining)
 	var repeat dfuattempt.Repeat
 	attempts := 0
@@ -76,19 +80,19 @@
 
 // try steps the machine with the call once and waits for the outcome.
 func (d *Duty) try(call dfufront.Call, c *caller) dfufront.Result {
-	event, refused := d.admit(&call)
+	r, refused := d.admit(call)
 	if refused != nil {
 		return *refused
 	}
-	c.request.Store(uint64(event.Request))
-	r := &request{call: call, event: event, reply: make(chan dfufront.Result, 1)}
+	r.reply = make(chan dfufront.Result, 1)
+	c.request.Store(uint64(r.event.Request))
 	if own := d.arrive(r); own != nil {
 		d.offer(own)
 	}
 	select {
 	case <-c.gone:
 		// The caller may have left before the machine knew the request.
-		d.notify(dfuattempt.CallerGone{Request: event.Request})
+		d.notify(dfuattempt.CallerGone{Request: r.event.Request})
 	case result := <-r.reply:
 		return result
 	}
@@ -132,47 +136,6 @@
 	return own
 }
 
-// admit checks a call against the catalogue.
-func (d *Duty) admit(call *dfufront.Call) (dfuattempt.Arrived, *dfufront.Result) {
-	refuse := func(reason dfuoutcome.Reason, detail string) (dfuattempt.Arrived, *dfufront.Result) {
-		result := notRun(reason, detail)
-		return dfuattempt.Arrived{}, &result
-	}
-	view := d.view.Load()
-	entry, _, ok := view.Entry(call.Service)
-	switch {
-	case !ok && len(view.Services()) == 0:
-		return refuse(dfuoutcome.ReasonNoCatalogue, "this node has no catalogue yet")
-	case !ok:
-		return refuse(dfuoutcome.ReasonUnknownService, "the catalogue has no service "+strconv.Quote(string(call.Service)))
-	case dfuident.Bytes(len(call.Body)) > entry.Limits.BodyBytes:
-		return refuse(dfuoutcome.ReasonBodyTooLarge, "the catalogue allows "+strconv.FormatInt(int64(entry.Limits.BodyBytes), 10)+" bytes")
-	case entry.NonIdempotent && call.Key == "":
-		return refuse(dfuoutcome.ReasonKeyMissing, "the service is non-idempotent: send Idempotency-Key")
-	}
-	call.Remaining = min(call.Remaining, entry.Limits.Deadline)
-	event := dfuattempt.Arrived{
-		Request:    dfuattempt.RequestNumber(d.number.Add(1)),
-		Service:    call.Service,
-		Caller:     call.Caller,
-		Class:      class(entry.Class),
-		Key:        call.Key,
-		Idempotent: !entry.NonIdempotent,
-		Remaining:  call.Remaining,
-		Body:       dfuident.Bytes(len(call.Body)),
-		Allowance:  allowance(call.Allowance),
-		Hedge:      entry.Retry.Hedge && !entry.NonIdempotent,
-	}
-	if entry.NonIdempotent {
-		owner, ok := d.deps.Owners.Owner(view, call.Service, call.Key)
-		if !ok {
-			return refuse(dfuoutcome.ReasonNotOwner, "no node owns the key's shard yet")
-		}
-		event.Owner = owner
-	}
-	return event, nil
-}
-
 func (d *Duty) finish(a dfuattempt.Finish) {
 	r := d.waiting[a.Request]
 	if r == nil {
--- a/io/request/dfumessage/message.go
+++ b/io/request/dfumessage/message.go
@@ -5,6 +5,7 @@
 
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/request/dfugate"
 	"dragonflyusher/core/request/dfuoutcome"
 
 	"github.com/cespare/xxhash/v2"
@@ -40,6 +41,17 @@
 	// Allowance is the number of retries that the levels below may still make.
 	Allowance  int
 	Idempotent bool
+	// Class ranks the request for a service without a catalogue entry.
+	Class dfugate.Class
+	// NoClaim says that a non-idempotent request runs at most once for its id
+	// alone, so that it needs no claim.
+	NoClaim bool
+	// CallerRequest is the caller's own id of the request, if it has one.
+	CallerRequest string
+	// CallerService is the service of the target beside the entry node.
+	CallerService dfuident.Service
+	// Host is the host that the caller asked for, if it is to be passed on.
+	Host string
 	// NoWait asks to refuse the request if it finds no free slot.
 	NoWait bool
 	// From is the region of the entry node.
--- a/measure/cmd/fleet/nodes.go
+++ b/measure/cmd/fleet/nodes.go
@@ -79,7 +79,7 @@
 		Gets:    int(c.Get),
 		Lists:   int(c.List),
 		Watches: int(c.Watch),
-		Writes:  int(c.CompareAndSwap + c.Delete + c.Lease),
+		Writes:  int(c.Commit + c.Lease),
 	}, err
 }
 
--- a/measure/cmd/fleet/rest.go
+++ b/measure/cmd/fleet/rest.go
@@ -9,6 +9,7 @@
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/io/process/dfustore"
 	"dragonflyusher/measure/fleet"
+	"dragonflyusher/platform"
 
 	"github.com/cockroachdb/errors"
 )
@@ -153,7 +154,7 @@
 // is in force at every node.
 func (c *restCommand) change(ctx context.Context, nodes []node) (time.Duration, error) {
 	const service = dfuident.Service("service-0")
-	store := dfustore.New(dfustore.Config{Address: dfuident.Address(c.Store), Timeout: dfuclock.Second})
+	store := dfuplatform.NewStore(dfuplatform.StoreConfig{Address: dfuident.Address(c.Store), Timeout: dfuclock.Second})
 	defer store.Close()
 	record, err := store.Get(ctx, dfustore.CatalogueKey(service))
 	if err != nil {
--- a/measure/dfufleet/fleet.go
+++ b/measure/dfufleet/fleet.go
@@ -167,6 +167,7 @@
 		Limits:          dfurecord.DefaultLimits(),
 		CataloguePrefix: "catalogue/",
 		ClaimsPrefix:    "claims/",
+		Exchanged:       []string{"catalogue/", "claims/"},
 	}
 	n.Keeper = dfuroster.NewKeeper(self, cfg, rand.New(rand.NewPCG(f.rng.Uint64(), f.rng.Uint64())))
 	n.tickAt = f.now.Add(dfuclock.Duration(f.rng.Int64N(int64(f.cfg.Membership.TickPeriod))))
--- /dev/null
+++ b/standin/dfustorestandin/backend.go
@@ -0,0 +1,64 @@
+package dfustorestandin
+
+import (
+	"time"
+
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/io/process/dfustore"
+	"dragonflyusher/platform"
+)
+
+var _ dfuplatform.Backend = (*Server)(nil)
+
+// Get implements dfuplatform.Backend.
+func (s *Server) Get(key string) (dfuplatform.Item, bool, dfuident.Revision) {
+	return s.state.get(key)
+}
+
+// Range implements dfuplatform.Backend.
+func (s *Server) Range(prefix, after string) ([]dfuplatform.Item, bool, dfuident.Revision) {
+	return s.state.page(prefix, after)
+}
+
+// Watch implements dfuplatform.Backend.
+func (s *Server) Watch(prefix string, after dfuident.Revision, wait dfuclock.Duration) ([]dfuplatform.Item, dfuident.Revision, bool) {
+	timeout := time.NewTimer(wait.Std())
+	defer timeout.Stop()
+	for over := false; ; {
+		events, asOf, known, changed := s.state.since(prefix, after)
+		if !known {
+			return nil, asOf, false
+		}
+		if len(events) > 0 || over {
+			return events, max(asOf, after), true
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			over = true
+		case <-s.stop:
+			over = true
+		}
+	}
+}
+
+// Commit implements dfuplatform.Backend.
+func (s *Server) Commit(c dfuplatform.Commit) dfuplatform.Committed {
+	return s.state.commit(c)
+}
+
+// Grant implements dfuplatform.Backend.
+func (s *Server) Grant(ttl dfuclock.Duration) dfustore.LeaseID {
+	return s.state.grant(ttl)
+}
+
+// Keep implements dfuplatform.Backend.
+func (s *Server) Keep(id dfustore.LeaseID) (dfuclock.Duration, bool) {
+	return s.state.keepAlive(id)
+}
+
+// EndLease implements dfuplatform.Backend.
+func (s *Server) EndLease(id dfustore.LeaseID) bool {
+	return s.state.revoke(id)
+}
--- a/standin/dfustorestandin/state.go
+++ b/standin/dfustorestandin/state.go
@@ -11,24 +11,33 @@
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/io/process/dfustore"
+	"dragonflyusher/platform"
 )
 
-// maxDeletes is how many deletes the store remembers.
-const maxDeletes = 1_000
+const (
+	// maxHistory is how many changes the store remembers for its watches.
+	maxHistory = 1_000
+	// pageItems is how many items a page holds at the most.
+	pageItems = 500
+)
+
+// ownerPrefixes precede the keys that only operators and targets write.
+var ownerPrefixes = []string{"op/", "servers/"}
 
 // snapshot is what a reader sees.
 type snapshot struct {
 	revision dfuident.Revision
-	// compacted is the highest revision of a forgotten delete.
-	compacted dfuident.Revision
-	records   map[string]dfustore.Record
+	items    map[string]dfuplatform.Item
+	// history holds the latest changes, oldest first, and forgotten is the
+	// revision of the newest one that is no longer among them.
+	history   []dfuplatform.Item
+	forgotten dfuident.Revision
 }
 
 // lease deletes its keys when its timer fires.
 type lease struct {
 	ttl   dfuclock.Duration
 	timer *time.Timer
-	keys  map[string]bool
 }
 
 // state is the content of the store.
@@ -37,9 +46,7 @@
 	current snapshot
 	// stale, if set, is what readers see in place of current.
 	stale   *snapshot
-	deletes []string
 	leases  map[dfustore.LeaseID]*lease
-	owners  map[string]dfustore.LeaseID
 	granted dfustore.LeaseID
 	// changed is closed and replaced at every change.
 	changed chan struct{}
@@ -47,39 +54,54 @@
 
 func newState() *state {
 	return &state{
-		current: snapshot{records: make(map[string]dfustore.Record)},
+		current: snapshot{items: make(map[string]dfuplatform.Item)},
 		leases:  make(map[dfustore.LeaseID]*lease),
-		owners:  make(map[string]dfustore.LeaseID),
 		changed: make(chan struct{}),
 	}
 }
 
-// get returns the record of a key.
-func (s *state) get(key string) dfustore.Record {
+// get returns the item of a key, if there is one.
+func (s *state) get(key string) (dfuplatform.Item, bool, dfuident.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	record := s.visible().records[key]
-	record.Key = key
-	return record
+	view := s.visible()
+	item, ok := view.items[key]
+	return item, ok, view.revision
 }
 
-// list returns the records under a prefix, ordered by key.
-func (s *state) list(prefix string) ([]dfustore.Record, dfuident.Revision) {
+// page returns the items under a prefix after a key, ordered by key, and
+// whether there are more.
+func (s *state) page(prefix, after string) ([]dfuplatform.Item, bool, dfuident.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	view := s.visible()
-	records := view.after(prefix, 0)
-	slices.SortFunc(records, func(a, b dfustore.Record) int { return cmp.Compare(a.Key, b.Key) })
-	return records, view.revision
+	items := []dfuplatform.Item{}
+	for key, item := range view.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			items = append(items, item)
+		}
+	}
+	slices.SortFunc(items, func(a, b dfuplatform.Item) int { return cmp.Compare(a.Key, b.Key) })
+	more := len(items) > pageItems
+	return items[:min(len(items), pageItems)], more, view.revision
 }
 
-// since returns the records under a prefix that changed after a revision and a
-// channel that is closed at the next change.
-func (s *state) since(prefix string, after dfuident.Revision) ([]dfustore.Record, snapshot, <-chan struct{}) {
+// since returns the changes under a prefix after a revision, whether all of them
+// are remembered, and a channel that is closed at the next change.
+func (s *state) since(prefix string, after dfuident.Revision) ([]dfuplatform.Item, dfuident.Revision, bool, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	view := s.visible()
-	return view.after(prefix, after), *view, s.changed
+	if after < view.forgotten {
+		return nil, view.revision, false, s.changed
+	}
+	events := []dfuplatform.Item{}
+	for _, item := range view.history {
+		if item.Revision > after && strings.HasPrefix(item.Key, prefix) {
+			events = append(events, item)
+		}
+	}
+	return events, view.revision, true, s.changed
 }
 
 func (s *state) visible() *snapshot {
@@ -89,101 +111,84 @@
 	return &s.current
 }
 
-// after returns the records above a revision, ordered by revision.
-func (v *snapshot) after(prefix string, after dfuident.Revision) []dfustore.Record {
-	records := []dfustore.Record{}
-	for key, record := range v.records {
-		if record.Revision > after && strings.HasPrefix(key, prefix) {
-			records = append(records, record)
-		}
-	}
-	slices.SortFunc(records, func(a, b dfustore.Record) int { return cmp.Compare(a.Revision, b.Revision) })
-	return records
-}
-
-// verdict is the answer to a write.
-type verdict int
-
-const (
-	applied verdict = iota
-	conflict
-	noLease
-)
-
-// swap writes a key if its revision is the expected one.
-func (s *state) swap(key string, expect dfuident.Revision, value []byte, id dfustore.LeaseID) (dfustore.Record, verdict) {
+// commit makes a set of changes together if its conditions hold.
+func (s *state) commit(c dfuplatform.Commit) dfuplatform.Committed {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	held := s.leases[id]
-	if id != 0 && held == nil {
-		return dfustore.Record{}, noLease
+	for _, w := range c.Writes {
+		if w.Lease != 0 && s.leases[w.Lease] == nil {
+			return dfuplatform.Committed{NoLease: true}
+		}
+		if isOwned(w.Key) {
+			return dfuplatform.Committed{Forbidden: true}
+		}
 	}
-	if current, ok := s.matches(key, expect); !ok {
-		return current, conflict
+	if slices.ContainsFunc(c.Deletes, isOwned) {
+		return dfuplatform.Committed{Forbidden: true}
 	}
-	s.detach(key)
-	if held != nil {
-		held.keys[key] = true
-		s.owners[key] = id
+	conflict := false
+	var current []dfuplatform.Item
+	for _, e := range c.Expected {
+		item, ok := s.current.items[e.Key]
+		conflict = conflict || item.Revision != e.Revision
+		if ok {
+			current = append(current, item)
+		}
 	}
-	return s.put(dfustore.Record{Key: key, Value: value}), applied
-}
-
-// remove deletes a key if its revision is the expected one.
-func (s *state) remove(key string, expect dfuident.Revision) (dfustore.Record, verdict) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	current, ok := s.matches(key, expect)
-	if !ok || !current.Exists() {
-		return current, conflict
+	if conflict {
+		return dfuplatform.Committed{Conflict: true, Current: current}
+	}
+	s.current.revision++
+	for _, w := range c.Writes {
+		s.put(w)
+	}
+	for _, key := range c.Deletes {
+		s.bury(key)
 	}
-	return s.bury(key), applied
+	s.wake()
+	return dfuplatform.Committed{Revision: s.current.revision}
 }
 
-// matches reports whether a key is at the expected revision, where zero stands
-// for a key that does not exist.
-func (s *state) matches(key string, expect dfuident.Revision) (dfustore.Record, bool) {
-	current := s.current.records[key]
-	current.Key = key
-	return current, current.Revision == expect || expect == 0 && !current.Exists()
+func isOwned(key string) bool {
+	return slices.ContainsFunc(ownerPrefixes, func(prefix string) bool { return strings.HasPrefix(key, prefix) })
 }
 
-// put stores a record under the next revision and wakes the watches.
-func (s *state) put(record dfustore.Record) dfustore.Record {
+// operate writes a key without a condition.
+func (s *state) operate(key string, value []byte) dfuident.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.current.revision++
-	record.Revision = s.current.revision
-	s.current.records[record.Key] = record
+	s.put(dfuplatform.Write{Key: key, Value: value})
 	s.wake()
-	return record
+	return s.current.revision
 }
 
-// bury replaces a record by the memory of its delete.
-func (s *state) bury(key string) dfustore.Record {
-	s.detach(key)
-	s.deletes = append(s.deletes, key)
-	if len(s.deletes) > maxDeletes {
-		s.forget(s.deletes[0])
-		s.deletes = s.deletes[1:]
+// put stores an item under the present revision.
+func (s *state) put(w dfuplatform.Write) {
+	item := dfuplatform.Item{
+		Record:  dfustore.Record{Key: w.Key, Value: w.Value, Revision: s.current.revision},
+		Created: s.current.revision,
+		Lease:   w.Lease,
 	}
-	return s.put(dfustore.Record{Key: key, Deleted: true})
+	if old, ok := s.current.items[w.Key]; ok {
+		item.Created = old.Created
+	}
+	s.current.items[w.Key] = item
+	s.remember(item)
 }
 
-// forget drops the memory of a delete.
-func (s *state) forget(key string) {
-	record := s.current.records[key]
-	if !record.Deleted {
-		return
-	}
-	s.current.compacted = max(s.current.compacted, record.Revision)
-	delete(s.current.records, key)
+// bury deletes a key under the present revision.
+func (s *state) bury(key string) {
+	delete(s.current.items, key)
+	s.remember(dfuplatform.Item{Record: dfustore.Record{Key: key, Revision: s.current.revision, Deleted: true}})
 }
 
-// detach frees a key from its lease.
-func (s *state) detach(key string) {
-	if held := s.leases[s.owners[key]]; held != nil {
-		delete(held.keys, key)
+func (s *state) remember(item dfuplatform.Item) {
+	s.current.history = append(s.current.history, item)
+	if len(s.current.history) > maxHistory {
+		s.current.forgotten = s.current.history[0].Revision
+		s.current.history = slices.Clone(s.current.history[1:])
 	}
-	delete(s.owners, key)
 }
 
 func (s *state) wake() {
@@ -197,20 +202,19 @@
 	defer s.mu.Unlock()
 	s.granted++
 	id := s.granted
-	s.leases[id] = &lease{
-		ttl:   ttl,
-		timer: time.AfterFunc(ttl.Std(), func() { s.revoke(id) }),
-		keys:  make(map[string]bool),
-	}
+	s.leases[id] = &lease{ttl: ttl, timer: time.AfterFunc(ttl.Std(), func() { s.revoke(id) })}
 	return id
 }
 
 // keepAlive starts the time of a lease anew and reports whether it exists.
-func (s *state) keepAlive(id dfustore.LeaseID) bool {
+func (s *state) keepAlive(id dfustore.LeaseID) (dfuclock.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	held := s.leases[id]
-	return held != nil && held.timer.Reset(held.ttl.Std())
+	if held == nil || !held.timer.Reset(held.ttl.Std()) {
+		return 0, false
+	}
+	return held.ttl, true
 }
 
 // revoke ends a lease, deletes its keys and reports whether it existed.
@@ -223,12 +227,26 @@
 	}
 	held.timer.Stop()
 	delete(s.leases, id)
-	for _, key := range slices.Sorted(maps.Keys(held.keys)) {
-		s.bury(key)
+	for _, key := range slices.Sorted(maps.Keys(s.current.items)) {
+		if s.current.items[key].Lease == id {
+			s.current.revision++
+			s.bury(key)
+		}
 	}
+	s.wake()
 	return true
 }
 
+// revokeAll ends every lease.
+func (s *state) revokeAll() {
+	s.mu.Lock()
+	ids := slices.Sorted(maps.Keys(s.leases))
+	s.mu.Unlock()
+	for _, id := range ids {
+		s.revoke(id)
+	}
+}
+
 // freeze makes readers see the present content until it is called with false.
 func (s *state) freeze(on bool) {
 	s.mu.Lock()
@@ -238,20 +256,20 @@
 		s.stale = nil
 	case s.stale == nil:
 		view := s.current
-		view.records = maps.Clone(view.records)
+		view.items = maps.Clone(view.items)
+		view.history = slices.Clone(view.history)
 		s.stale = &view
 	}
 	s.wake()
 }
 
-// compact forgets every delete.
+// compact forgets the history.
 func (s *state) compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, key := range s.deletes {
-		s.forget(key)
-	}
-	s.deletes = nil
+	s.current.forgotten = s.current.revision
+	s.current.history = nil
+	s.wake()
 }
 
 // close ends all leases without deleting their keys.
