core/request/dfugate: ask the target for its pace before a looking request is let in

Neighbors slow a target down fivefold for some 150 ms, a third of the time, and entry nodes hear of it only with answers, which are older than that. Change: the gate keeps what its target told last of its pace. A request that looks for a free slot is refused with proof while the target is slow; if the news is older than 40 ms the target is asked first, once for all that wait. The entry node then looks elsewhere, which costs no attempt.

--- a/core/request/dfuattempt/reply.go
+++ b/core/request/dfuattempt/reply.go
@@ -41,8 +41,9 @@
 
 // noteRefused keeps what the next choice has to know of a refusal.
 func (r *request) noteRefused(node dfuident.NodeID, reason dfuoutcome.Reason) {
-	r.looking = reason == dfuoutcome.ReasonQueueFull || reason == dfuoutcome.ReasonDraining
-	if reason == dfuoutcome.ReasonQueueFull {
+	busy := reason == dfuoutcome.ReasonQueueFull || reason == dfuoutcome.ReasonTargetSlow
+	r.looking = busy || reason == dfuoutcome.ReasonDraining
+	if busy {
 		r.refused = append(r.refused, node)
 	}
 }
--- a/core/request/dfugate/action.go
+++ b/core/request/dfugate/action.go
@@ -24,6 +24,10 @@
 	ID dfuident.RequestID
 }
 
+// AskTarget asks the target for its load. The gate expects a TargetTold or a
+// TargetSilent.
+type AskTarget struct{}
+
 // AskClaim asks whether a non-idempotent request may run.
 type AskClaim struct {
 	ID      dfuident.RequestID
@@ -120,6 +124,7 @@
 
 func (RunOnTarget) action()      {}
 func (CancelOnTarget) action()   {}
+func (AskTarget) action()        {}
 func (AskClaim) action()         {}
 func (ReleaseClaim) action()     {}
 func (Refuse) action()           {}
--- a/core/request/dfugate/decide.go
+++ b/core/request/dfugate/decide.go
@@ -15,6 +15,8 @@
 	case stateClaiming:
 		m.claiming--
 		m.disown(r)
+	case stateAsking:
+		m.asking = slices.DeleteFunc(m.asking, func(other *record) bool { return other == r })
 	case stateQueued:
 		m.queue.remove(r)
 	case stateRunning:
--- a/core/request/dfugate/event.go
+++ b/core/request/dfugate/event.go
@@ -83,6 +83,15 @@
 	Refused bool
 }
 
+// TargetTold reports what the target itself tells of its load, with an answer or
+// when it is asked.
+type TargetTold struct {
+	Load TargetLoad
+}
+
+// TargetSilent reports that the target did not tell its load when it was asked.
+type TargetSilent struct{}
+
 // TargetAnnounced reports that the local target takes requests.
 type TargetAnnounced struct {
 	Service dfuident.Service
@@ -146,6 +155,8 @@
 func (Seal) event()               {}
 func (TargetDone) event()         {}
 func (TargetFailed) event()       {}
+func (TargetTold) event()         {}
+func (TargetSilent) event()       {}
 func (TargetAnnounced) event()    {}
 func (TargetWithdrawn) event()    {}
 func (TargetCrashed) event()      {}
--- a/core/request/dfugate/machine.go
+++ b/core/request/dfugate/machine.go
@@ -53,10 +53,13 @@
 	rate    rateLimit
 	target  target
 	service serviceTime
+	pace    pace
 	crash   *dfucrash.Tracker
 	lost    []lostRun
 
-	live     map[dfuident.RequestID]*record
+	live map[dfuident.RequestID]*record
+	// asking are the requests that wait for the target to tell its load.
+	asking   []*record
 	claiming int
 	// unwanted holds what to do if the claim of an id is granted that was
 	// refused while its claim was asked for.
@@ -98,6 +101,7 @@
 
 const (
 	stateClaiming state = iota
+	stateAsking
 	stateQueued
 	stateRunning
 )
@@ -157,6 +161,10 @@
 		m.targetDone(now, e)
 	case TargetFailed:
 		m.targetFailed(now, e)
+	case TargetTold:
+		m.targetTold(now, e.Load)
+	case TargetSilent:
+		m.targetSilent()
 	case TargetAnnounced:
 		m.targetAnnounced(e)
 	case TargetWithdrawn:
@@ -218,7 +226,7 @@
 
 // waiting returns how many requests wait for a claim or a slot.
 func (m *Machine) waiting() int {
-	return m.claiming + m.queue.length
+	return m.claiming + len(m.asking) + m.queue.length
 }
 
 // slots returns how many requests may run at once now.
--- a/core/request/dfugate/offer.go
+++ b/core/request/dfugate/offer.go
@@ -39,7 +39,7 @@
 	m.live[r.id] = r
 	m.timers.Push(r)
 	if r.idempotent || o.NoClaim {
-		m.enqueue(r)
+		m.enqueueOnceTold(now, r)
 		return
 	}
 	m.claiming++
@@ -128,6 +128,9 @@
 	if r.noWait && occupied >= m.slots() {
 		return dfuoutcome.ReasonQueueFull
 	}
+	if r.noWait && m.pace.fresh(now) && m.pace.slow() {
+		return dfuoutcome.ReasonTargetSlow
+	}
 	if occupied >= m.slots()+m.limits.Queue {
 		victim := m.queue.victim(r)
 		if victim == nil {
--- /dev/null
+++ b/core/request/dfugate/pace.go
@@ -0,0 +1,80 @@
+package dfugate
+
+import (
+	"slices"
+
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/request/dfuoutcome"
+)
+
+const (
+	// paceLifetime is how long what a target tells of its pace is taken to hold.
+	// Neighbors on its VM slow a target down for some 150 ms at a time.
+	paceLifetime = 40 * dfuclock.Millisecond
+	// slowPercent is the time of work, in percent of the usual, from which a
+	// target counts as slow.
+	slowPercent = 200
+)
+
+// pace is what the target told last of how long its work takes at the moment.
+type pace struct {
+	// told says that the target tells its pace at all.
+	told     bool
+	slowdown int
+	at       dfuclock.Time
+	// asked says that the target has been asked and has not answered yet.
+	asked bool
+}
+
+// fresh reports whether the pace still holds.
+func (p *pace) fresh(now dfuclock.Time) bool {
+	return p.told && now.Sub(p.at) <= paceLifetime
+}
+
+// slow reports whether the target was slow when it told its pace.
+func (p *pace) slow() bool {
+	return p.slowdown >= slowPercent
+}
+
+// enqueueOnceTold lets a request in that looks for a target with a free slot. If
+// the target's pace isn't known, the request first waits until the target has
+// been asked, since its entry node may find a faster one.
+func (m *Machine) enqueueOnceTold(now dfuclock.Time, r *record) {
+	if !r.noWait || !m.pace.told || m.pace.fresh(now) {
+		m.enqueue(r)
+		return
+	}
+	r.state = stateAsking
+	m.asking = append(m.asking, r)
+	if !m.pace.asked {
+		m.pace.asked = true
+		m.emit(AskTarget{})
+	}
+}
+
+// targetTold takes the target's load and decides on the requests that wait for
+// it.
+func (m *Machine) targetTold(now dfuclock.Time, load TargetLoad) {
+	m.pace.asked = false
+	if load.Slowdown > 0 {
+		m.pace.told = true
+		m.pace.slowdown = load.Slowdown
+		m.pace.at = now
+	}
+	if !m.pace.slow() {
+		m.targetSilent()
+		return
+	}
+	for _, r := range slices.Clone(m.asking) {
+		m.refuse(r, dfuoutcome.NotRun, dfuoutcome.ReasonTargetSlow)
+	}
+}
+
+// targetSilent lets in the requests that wait for the target's load.
+func (m *Machine) targetSilent() {
+	m.pace.asked = false
+	for _, r := range m.asking {
+		m.enqueue(r)
+	}
+	m.asking = m.asking[:0]
+}
--- a/core/request/dfuoutcome/outcome.go
+++ b/core/request/dfuoutcome/outcome.go
@@ -50,6 +50,7 @@
 	ReasonTargetDied       Reason = "target_died"
 	ReasonTargetLinkLost   Reason = "target_link_lost"
 	ReasonTargetRefused    Reason = "target_refused"
+	ReasonTargetSlow       Reason = "target_slow"
 	ReasonClassShed        Reason = "class_shed"
 )
 
--- a/core/request/session_test.go
+++ b/core/request/session_test.go
@@ -128,7 +128,8 @@
 
 var gateEvents = newTypes[dfugate.Event](
 	dfugate.Offer{}, dfugate.Cancel{}, dfugate.Seal{}, dfugate.TargetDone{}, dfugate.TargetFailed{},
-	dfugate.TargetAnnounced{}, dfugate.TargetWithdrawn{}, dfugate.TargetCrashed{},
+	dfugate.TargetTold{}, dfugate.TargetSilent{}, dfugate.TargetAnnounced{}, dfugate.TargetWithdrawn{},
+	dfugate.TargetCrashed{},
 	dfugate.ClaimGranted{}, dfugate.ClaimDenied{}, dfugate.LimitsChanged{}, dfugate.DrainRequested{},
 	dfugate.DrainCanceled{}, dfugate.FingerprintBanned{}, dfugate.FingerprintCleared{},
 	dfugate.PeerCrashed{}, dfugate.Tick{},
--- a/io/connection/dfutarget/client.go
+++ b/io/connection/dfutarget/client.go
@@ -11,6 +11,7 @@
 
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/request/dfugate"
 	"dragonflyusher/io/connection/dfudial"
 	"dragonflyusher/io/request/dfumessage"
 
@@ -83,12 +84,19 @@
 // Run sends the request and returns the target's whole answer. The end of ctx
 // closes the connection. The error is marked ErrNotSent or ErrInterrupted.
 func (c *Client) Run(ctx context.Context, offer *dfumessage.Offer, remaining dfuclock.Duration) (Result, error) {
+	return c.run(ctx, offer, func(h *fasthttp.RequestHeader) {
+		c.cfg.Dialect.Fill(h, offer, c.cfg.Instance, remaining)
+	})
+}
+
+// run sends a request whose header fill completes.
+func (c *Client) run(ctx context.Context, offer *dfumessage.Offer, fill func(*fasthttp.RequestHeader)) (Result, error) {
 	cn, err := c.acquire(ctx, offer.Idempotent)
 	if err != nil {
 		return Result{}, errors.Mark(err, ErrNotSent)
 	}
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
-	result, reusable, err := c.exchange(cn, offer, remaining)
+	result, reusable, err := c.exchange(cn, offer, fill)
 	if !stop() || err != nil || !reusable {
 		cn.Close()
 	} else {
@@ -97,6 +105,23 @@
 	return result, err
 }
 
+// errNoLoad is an answer that tells no load.
+var errNoLoad = errors.New("target told no load")
+
+// Ask asks the target for its load at a path, on a connection that is kept for
+// requests. The end of ctx ends it.
+func (c *Client) Ask(ctx context.Context, path string) (dfugate.TargetLoad, error) {
+	offer := &dfumessage.Offer{Method: fasthttp.MethodGet, URI: path, Idempotent: true}
+	result, err := c.run(ctx, offer, func(h *fasthttp.RequestHeader) {})
+	switch {
+	case err != nil:
+		return dfugate.TargetLoad{}, err
+	case result.Remark.Load == nil:
+		return dfugate.TargetLoad{}, errNoLoad
+	}
+	return *result.Remark.Load, nil
+}
+
 // Close closes the idle connections.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -185,8 +210,8 @@
 
 // exchange writes the request and reads the answer. It reports whether the
 // connection may carry another request.
-func (c *Client) exchange(cn *conn, offer *dfumessage.Offer, remaining dfuclock.Duration) (Result, bool, error) {
-	written := c.write(cn, offer, remaining)
+func (c *Client) exchange(cn *conn, offer *dfumessage.Offer, fill func(*fasthttp.RequestHeader)) (Result, bool, error) {
+	written := c.write(cn, offer, fill)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	resp.Header.SetNoDefaultContentType(true)
@@ -223,12 +248,13 @@
 }
 
 // write writes a request, a long one in a goroutine of its own.
-func (c *Client) write(cn *conn, offer *dfumessage.Offer, remaining dfuclock.Duration) *writing {
+func (c *Client) write(cn *conn, offer *dfumessage.Offer, fill func(*fasthttp.RequestHeader)) *writing {
 	written := &writing{done: make(chan struct{})}
 	send := func() {
 		req := fasthttp.AcquireRequest()
 		defer fasthttp.ReleaseRequest(req)
-		c.fillRequest(req, offer, remaining)
+		c.fillRequest(req, offer)
+		fill(&req.Header)
 		written.err = req.Write(cn.w)
 		if written.err == nil {
 			written.err = cn.w.Flush()
@@ -319,7 +345,7 @@
 	return errors.Mark(errors.Wrap(err, "exchange with target"), ErrInterrupted)
 }
 
-func (c *Client) fillRequest(req *fasthttp.Request, offer *dfumessage.Offer, remaining dfuclock.Duration) {
+func (c *Client) fillRequest(req *fasthttp.Request, offer *dfumessage.Offer) {
 	req.Header.SetNoDefaultContentType(true)
 	req.Header.SetMethod(offer.Method)
 	req.SetRequestURI(offer.URI)
@@ -327,7 +353,6 @@
 	for _, h := range offer.Headers {
 		req.Header.Add(h.Name, h.Value)
 	}
-	c.cfg.Dialect.Fill(&req.Header, offer, c.cfg.Instance, remaining)
 	req.SetBodyRaw(offer.Body)
 }
 
--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -55,6 +55,8 @@
 	// idleTargetTime is how long a connection to the target is kept idle unless
 	// the target states less.
 	idleTargetTime = 30 * dfuclock.Second
+	// defaultHealthPath is where a target tells its load unless the routes say.
+	defaultHealthPath = "/health"
 	// adminBodyBytes bounds an announcement.
 	adminBodyBytes = 1 << 20
 )
@@ -360,6 +362,8 @@
 		Claims:  claims,
 		Machine: dfugate.New(dfugate.DefaultConfig(), self),
 		Tell:    news.tell,
+
+		HealthPath: n.healthPath,
 	})
 	chooser := dfuchoice.New(dfuchoice.DefaultSettings(), newRand())
 	random := newRand()
@@ -416,6 +420,16 @@
 	return ""
 }
 
+// healthPath returns the path at which the target beside the node tells its
+// load.
+func (n *Node) healthPath() string {
+	s, ok := n.control.View().Routes().Service(n.localService())
+	if !ok || s.HealthPath == "" {
+		return defaultHealthPath
+	}
+	return s.HealthPath
+}
+
 // noClaims stands in where no keys are claimed.
 type noClaims struct{}
 
--- a/io/request/dfuadmission/duty.go
+++ b/io/request/dfuadmission/duty.go
@@ -28,6 +28,8 @@
 	Region  dfuident.Region
 	Claims  Claims
 	Machine *dfugate.Machine
+	// HealthPath returns the path at which the target tells its load.
+	HealthPath func() string
 	// Tell sends what peers should know of crashes.
 	Tell func(dfugate.Action)
 }
@@ -167,6 +169,8 @@
 			d.canceled.Inc(1)
 			r.cancel()
 		}
+	case dfugate.AskTarget:
+		go d.askTarget(d.client)
 	case dfugate.AskClaim:
 		d.askClaim(a)
 	case dfugate.ReleaseClaim:
--- a/io/request/dfuadmission/target.go
+++ b/io/request/dfuadmission/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"dragonflyusher/core/request/dfugate"
 	"dragonflyusher/io/connection/dfutarget"
@@ -30,6 +31,26 @@
 	r.wake <- order{ctx: ctx, client: d.client, remaining: a.Remaining}
 }
 
+// askTimeout bounds the asking of the target for its load. A target answers such
+// a question at once.
+const askTimeout = 20 * time.Millisecond
+
+// askTarget asks the target for its load.
+func (d *Duty) askTarget(client *dfutarget.Client) {
+	var event dfugate.Event = dfugate.TargetSilent{}
+	if client != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+		defer cancel()
+		load, err := client.Ask(ctx, d.deps.HealthPath())
+		if err == nil {
+			event = dfugate.TargetTold{Load: load}
+		} else {
+			d.deps.Log.Debug("target did not tell its load", zap.Error(err))
+		}
+	}
+	d.Notify(event)
+}
+
 // runOnTarget runs an offer on the target and reports its end.
 func (d *Duty) runOnTarget(r *run, o order) {
 	defer r.cancel()
@@ -51,6 +72,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r.answer = result.Answer
+	if result.Remark.Load != nil {
+		d.step(dfugate.TargetTold{Load: *result.Remark.Load})
+	}
 	d.step(event)
 	if result.Remark.Replaced && o.client == d.client {
 		d.deps.Log.Warn("another instance answers at the target's address",
