core/request/dfugate: use fewer slots of a target that slows down when nearly full

The load that a target tells does not show it. Change: the gate compares how much work runs of one kind took, at the told pace, while few and while nearly all slots were taken.

--- a/core/request/dfugate/dispatch.go
+++ b/core/request/dfugate/dispatch.go
@@ -50,6 +50,8 @@
 	r.state = stateRunning
 	r.started = now
 	m.running = append(m.running, r)
+	r.startedWork = m.pace.work(now)
+	r.startedLevel = len(m.running)
 	m.emit(RunOnTarget{ID: r.id, Remaining: r.deadline.Sub(now)})
 }
 
--- a/core/request/dfugate/event.go
+++ b/core/request/dfugate/event.go
@@ -38,6 +38,8 @@
 	Class       Class
 	Key         dfuident.Key
 	Fingerprint dfucrash.Fingerprint
+	// Kind tells requests apart that take different times.
+	Kind Kind
 	// Remaining is the time left until the request's deadline.
 	Remaining  dfuclock.Duration
 	Idempotent bool
--- /dev/null
+++ b/core/request/dfugate/load_test.go
@@ -0,0 +1,148 @@
+package dfugate_test
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/request/dfugate"
+	"dragonflyusher/core/request/dfuoutcome"
+
+	"github.com/matryer/is"
+)
+
+// simulatedTarget is a target with slots whose work advances in steps of one
+// millisecond, slower while neighbors disturb it and while it is nearly full.
+type simulatedTarget struct {
+	// neighbors and work draw the spells of disturbance and the requests, apart
+	// from each other, so that two runs meet the same disturbance.
+	neighbors, work *rand.Rand
+	slots           int
+	// knee is the share of taken slots above which all work takes kneeFactor
+	// times as long.
+	knee, kneeFactor float64
+	// disturbed is the share of the time in which work takes five times as long,
+	// in spells of 150 ms.
+	disturbed float64
+
+	slow    bool
+	until   dfuclock.Time
+	running map[dfuident.RequestID]float64
+}
+
+// step advances the work by one millisecond and returns what is finished.
+func (s *simulatedTarget) step(now dfuclock.Time) []dfuident.RequestID {
+	if s.disturbed > 0 && !now.Before(s.until) {
+		s.slow = !s.slow
+		mean := 150.0
+		if !s.slow {
+			mean *= (1 - s.disturbed) / s.disturbed
+		}
+		s.until = now.Add(dfuclock.Duration(s.neighbors.ExpFloat64()*mean) + 1)
+	}
+	speed := 1.0
+	if s.slow {
+		speed /= 5
+	}
+	if float64(len(s.running)) > s.knee*float64(s.slots) {
+		speed /= s.kneeFactor
+	}
+	var done []dfuident.RequestID
+	for id := range s.running {
+		if s.running[id] -= speed; s.running[id] <= 0 {
+			done = append(done, id)
+		}
+	}
+	slices.SortFunc(done, func(a, b dfuident.RequestID) int { return cmp.Compare(a.Sequence, b.Sequence) })
+	return done
+}
+
+// load returns what the target tells of its load.
+func (s *simulatedTarget) load() dfugate.TargetLoad {
+	load := dfugate.TargetLoad{Running: len(s.running), Slots: s.slots, Slowdown: 100}
+	if s.slow {
+		load.Slowdown = 500
+	}
+	return load
+}
+
+// overload offers a gate more work than its target can do for some time, and
+// returns how many requests were finished.
+func overload(cfg dfugate.Config, s *simulatedTarget, length dfuclock.Time) int {
+	cfg.Limits = dfugate.Limits{Queue: 64}
+	s.running = make(map[dfuident.RequestID]float64)
+	m := dfugate.New(cfg, dfuident.Member{Node: "gate", Incarnation: 1})
+	finished := 0
+	sequence := uint64(0)
+	now := dfuclock.Time(0)
+	var step func(dfugate.Event)
+	step = func(e dfugate.Event) {
+		for _, a := range append([]dfugate.Action(nil), m.Step(now, e)...) {
+			switch a := a.(type) {
+			case dfugate.RunOnTarget:
+				s.running[a.ID] = 100 * (0.7 + 0.6*s.work.Float64())
+			case dfugate.CancelOnTarget:
+				delete(s.running, a.ID)
+				step(dfugate.TargetFailed{ID: a.ID})
+			case dfugate.AskTarget:
+				step(dfugate.TargetTold{Load: s.load()})
+			case dfugate.Complete:
+				if a.Outcome == dfuoutcome.Answered {
+					finished++
+				}
+			default:
+			}
+		}
+	}
+	step(dfugate.TargetAnnounced{Service: "lager", Slots: s.slots})
+	for ; now < length; now++ {
+		// A quarter of the time is calm, so that the gate sees both levels.
+		share := 1.3
+		if now%4000 < 1000 {
+			share = 0.4
+		}
+		if s.work.Float64() < share*float64(s.slots)/100 {
+			sequence++
+			step(dfugate.Offer{
+				ID:         dfuident.RequestID{Entry: dfuident.Member{Node: "shop", Incarnation: 1}, Sequence: sequence},
+				Service:    "lager",
+				Remaining:  2000,
+				Idempotent: true,
+			})
+		}
+		for _, id := range s.step(now) {
+			delete(s.running, id)
+			step(dfugate.TargetTold{Load: s.load()})
+			step(dfugate.TargetDone{ID: id})
+		}
+		step(dfugate.Tick{})
+	}
+	return finished
+}
+
+// Adaptive concurrency: a target that slows down when it is nearly full gets
+// fewer requests at a time, and finishes more of them, than with the earlier
+// gate, which uses all slots. One that doesn't slow down loses nothing.
+func TestNearlyFullTarget(t *testing.T) {
+	const length = 60_000
+	for seed := range uint64(5) {
+		is := is.New(t)
+		finished := func(allSlots bool, factor float64) int {
+			cfg := dfugate.DefaultConfig()
+			cfg.AllSlots = allSlots
+			return overload(cfg, &simulatedTarget{
+				neighbors: rand.New(rand.NewPCG(seed, 1)), work: rand.New(rand.NewPCG(seed, 2)),
+				slots: 12, knee: 0.8, kneeFactor: factor, disturbed: 0.25,
+			}, length)
+		}
+		before, after := finished(true, 1.7), finished(false, 1.7)
+		t.Logf("seed %d: %d finished with all slots, %d with fewer", seed, before, after)
+		is.True(after*100 >= before*110) // at least a tenth more
+		before, after = finished(true, 1), finished(false, 1)
+		t.Logf("seed %d: %d finished with all slots, %d with fewer", seed, before, after)
+		is.True(after*100 >= before*95) // hardly fewer
+	}
+}
--- a/core/request/dfugate/machine.go
+++ b/core/request/dfugate/machine.go
@@ -20,6 +20,11 @@
 	// the target may have broken because of it.
 	CrashWindow dfuclock.Duration
 	Crash       dfucrash.Config
+	// AllSlots keeps the gate using all slots of a target that slows down when
+	// it is nearly full, and IgnorePace lets requests in however slow the target
+	// is. Measurements compare with them.
+	AllSlots   bool
+	IgnorePace bool
 }
 
 // DefaultConfig returns the bounds used by a node.
@@ -54,8 +59,11 @@
 	target  target
 	service serviceTime
 	pace    pace
-	crash   *dfucrash.Tracker
-	lost    []lostRun
+	full    fullness
+	// now is the time of the present step.
+	now   dfuclock.Time
+	crash *dfucrash.Tracker
+	lost  []lostRun
 
 	live map[dfuident.RequestID]*record
 	// asking are the requests that wait for the target to tell its load.
@@ -114,6 +122,7 @@
 	class       Class
 	key         dfuident.Key
 	fingerprint dfucrash.Fingerprint
+	kind        Kind
 	idempotent  bool
 	noWait      bool
 	deadline    dfuclock.Time
@@ -122,6 +131,10 @@
 	state   state
 	claimed bool
 	started dfuclock.Time
+	// startedWork and startedLevel are the target's work so far and the slots
+	// taken, this request's included, when it was handed over.
+	startedWork  workTime
+	startedLevel int
 	// canceled is the reason for which the target was asked to stop.
 	canceled   dfuoutcome.Reason
 	queueIndex int
@@ -149,6 +162,7 @@
 // until the next Step.
 func (m *Machine) Step(now dfuclock.Time, event Event) []Action {
 	m.actions = m.actions[:0]
+	m.now = now
 	m.sequence++
 	switch e := event.(type) {
 	case Offer:
@@ -235,6 +249,9 @@
 		return 0
 	}
 	n := min(m.target.slots, m.target.warm)
+	if !m.cfg.AllSlots {
+		n = min(n, m.full.limit(m.now, m.target.slots))
+	}
 	if m.limits.Concurrency > 0 {
 		n = min(n, m.limits.Concurrency)
 	}
--- a/core/request/dfugate/offer.go
+++ b/core/request/dfugate/offer.go
@@ -101,6 +101,7 @@
 		class:       min(o.Class, ClassCount-1),
 		key:         o.Key,
 		fingerprint: o.Fingerprint,
+		kind:        o.Kind,
 		idempotent:  o.Idempotent,
 		noWait:      o.NoWait,
 		deadline:    now.Add(o.Remaining),
--- a/core/request/dfugate/pace.go
+++ b/core/request/dfugate/pace.go
@@ -14,6 +14,8 @@
 	// slowPercent is the time of work, in percent of the usual, from which a
 	// target counts as slow.
 	slowPercent = 200
+	// usualPercent is the time of work at the usual pace.
+	usualPercent = 100
 )
 
 // pace is what the target told last of how long its work takes at the moment.
@@ -22,6 +24,9 @@
 	told     bool
 	slowdown int
 	at       dfuclock.Time
+	// done is the work that a run would have done until at, with the pace that
+	// was told.
+	done workTime
 	// asked says that the target has been asked and has not answered yet.
 	asked bool
 }
@@ -31,6 +36,16 @@
 	return p.told && now.Sub(p.at) <= paceLifetime
 }
 
+// work returns how much work a run would have done by now, in ms at the usual
+// pace. Only differences of it mean something.
+func (p *pace) work(now dfuclock.Time) workTime {
+	passed := workTime(now.Sub(p.at))
+	if p.slowdown <= 0 {
+		return p.done + passed
+	}
+	return p.done + passed*usualPercent/workTime(p.slowdown)
+}
+
 // slow reports whether the target was slow when it told its pace.
 func (p *pace) slow() bool {
 	return p.slowdown >= slowPercent
@@ -56,8 +71,9 @@
 // it.
 func (m *Machine) targetTold(now dfuclock.Time, load TargetLoad) {
 	m.pace.asked = false
-	if load.Slowdown > 0 {
+	if load.Slowdown > 0 && !m.cfg.IgnorePace {
 		m.pace.told = true
+		m.pace.done = m.pace.work(now)
 		m.pace.slowdown = load.Slowdown
 		m.pace.at = now
 	}
--- a/io/request/dfuadmission/offer.go
+++ b/io/request/dfuadmission/offer.go
@@ -191,6 +191,7 @@
 		Class:       class,
 		Key:         offer.Key,
 		Fingerprint: fingerprint(offer),
+		Kind:        offer.Kind,
 		Remaining:   offer.Remaining,
 		Idempotent:  offer.Idempotent,
 		NoClaim:     offer.NoClaim,
--- a/io/request/dfudispatch/attempt.go
+++ b/io/request/dfudispatch/attempt.go
@@ -111,6 +111,7 @@
 		Idempotent:  r.event.Idempotent,
 		NoClaim:     r.noClaim,
 		Class:       r.event.Class,
+		Kind:        kind(r.call.Route),
 		NoWait:      !a.Wait,
 		From:        d.deps.Place.Region,
 		Bulk:        r.bulk,
--- a/io/request/dfudispatch/convert.go
+++ b/io/request/dfudispatch/convert.go
@@ -10,8 +10,11 @@
 	"dragonflyusher/core/request/dfugate"
 	"dragonflyusher/core/version/dfucatalogue"
 	"dragonflyusher/core/version/dfuroster"
+	"dragonflyusher/core/version/dfuroute"
 	"dragonflyusher/io/connection/dfufront"
 	"dragonflyusher/io/request/dfumessage"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // class returns the gate's rank of a catalogue class.
@@ -19,6 +22,14 @@
 	return dfugate.Class(c.Rank())
 }
 
+// kind tells the requests of different routes apart.
+func kind(r *dfuroute.Route) dfugate.Kind {
+	if r == nil {
+		return 0
+	}
+	return dfugate.Kind(xxhash.Sum64String(r.Name))
+}
+
 // allowance bounds what a caller's header grants.
 func allowance(n int) dfubudget.Allowance {
 	return dfubudget.Allowance(min(max(n, 0), 255))
--- a/io/request/dfumessage/message.go
+++ b/io/request/dfumessage/message.go
@@ -41,6 +41,8 @@
 	// Allowance is the number of retries that the levels below may still make.
 	Allowance  int
 	Idempotent bool
+	// Kind tells requests apart that take different times.
+	Kind dfugate.Kind
 	// Class ranks the request for a service without a catalogue entry.
 	Class dfugate.Class
 	// NoClaim says that a non-idempotent request runs at most once for its id
