core/connection/dfuchoice: choose by the target's pace and the price of the bytes

Ruled out: control traffic (0.3 MB between regions at a hundredth of the load). Change: policy Paced. Its cost is the wait for a slot, the work of the request's kind at the target's pace (a process of two states whose last word fades), the network, and the bytes of the request and of the usual answer by the price of zone and link. A gate that is full or slowed down refuses; the request waits only where it still costs least after the refusal. Gates tell their pace with their answers.

Test: session paced; LateBinding stays as the baseline.

--- a/core/connection/dfuchoice/choice.go
+++ b/core/connection/dfuchoice/choice.go
@@ -8,6 +8,8 @@
 // Query describes the request that a target is wanted for.
 type Query struct {
 	Service dfuident.Service
+	// Kind is the kind of the request.
+	Kind dfuident.Kind
 	// From is the place of the entry node.
 	From dfuident.Place
 	// Remaining is the time left until the request's deadline.
@@ -72,6 +74,9 @@
 	// Sequence grows with every Load that the target's node sends, so that
 	// an answer that arrives late doesn't replace a newer one's load.
 	Sequence uint32 `json:"sequence"`
+	// Slowdown is how long work takes at the moment in percent of the usual
+	// time; zero if that is not known.
+	Slowdown uint16 `json:"slowdown,omitempty"`
 }
 
 // FeedbackKind says how an attempt ended.
@@ -101,6 +106,9 @@
 	Latency dfuclock.Duration
 	// Load is nil if the answer carried none.
 	Load *Load
+	// RequestKind is the kind of the request, and Answer the size of its answer.
+	RequestKind dfuident.Kind
+	Answer      dfuident.Bytes
 }
 
 // Target is a member of the roster that serves a service.
--- a/core/connection/dfuchoice/chooser.go
+++ b/core/connection/dfuchoice/chooser.go
@@ -29,6 +29,9 @@
 	// over it are worth a millisecond of latency. Fewer save bytes, more save
 	// latency.
 	LinkBytesPerMillisecond dfuident.Bytes
+	// ZoneBytesPerMillisecond prices the bytes between availability zones; zero
+	// means that they cost nothing.
+	ZoneBytesPerMillisecond dfuident.Bytes
 }
 
 // DefaultSettings returns the settings of a node in production.
@@ -41,6 +44,18 @@
 	}
 }
 
+// PacedSettings returns the settings of a node whose targets tell their pace and
+// whose bytes between zones and regions are paid for.
+func PacedSettings() Settings {
+	return Settings{
+		Policy: Paced{},
+		Delays: Delays{SameZone: 0, SameRegion: 1, FarRegion: 8},
+
+		LinkBytesPerMillisecond: linkBytesPerMillisecond,
+		ZoneBytesPerMillisecond: zoneBytesPerMillisecond,
+	}
+}
+
 // Chooser chooses targets for the requests that enter at one node. It is not
 // safe for concurrent use.
 type Chooser struct {
@@ -64,6 +79,8 @@
 	refusals float64
 	// latencies holds recent latencies of answers, which hedging starts from.
 	latencies quantiles
+	// kinds holds what is known of the kinds of requests.
+	kinds map[dfuident.Kind]*kindState
 }
 
 // New returns a Chooser without targets.
@@ -134,6 +151,7 @@
 	t.service.noteRefusal(f.Kind)
 	if f.Kind == FeedbackAnswered {
 		t.service.latencies.add(f.Latency)
+		t.service.learn(f, network)
 		far := t.target.Place.Region != c.from.Region
 		t.service.spill.note(now, far, max(0, float64(f.Latency)-network))
 	}
@@ -156,6 +174,9 @@
 	if state == nil {
 		return Choice{}, false
 	}
+	if _, ok := c.settings.Policy.(Paced); ok {
+		return c.byPace(now, q, state)
+	}
 	candidates := make([]*targetState, 0, len(state.targets))
 	for _, t := range state.targets {
 		if !t.target.Draining && !slices.Contains(q.Excluded, t.target.Member.Node) {
--- a/core/connection/dfuchoice/session_test.go
+++ b/core/connection/dfuchoice/session_test.go
@@ -86,6 +86,8 @@
 		}
 		fmt.Fprintf(&s.out, "> %s\n", strings.Join(words, " "))
 		switch words[0] {
+		case "paced":
+			s.chooser = dfuchoice.New(dfuchoice.PacedSettings(), rand.New(rand.NewPCG(1, 1)))
 		case "targets":
 			s.targets(words[1:])
 		case "behave":
@@ -125,7 +127,8 @@
 }
 
 // behave sets how a target answers, from words such as "target_error 1",
-// "answered 20 slots 2" or "refused 2 load 9 20".
+// "answered 20 slots 2" or "refused 2 load 9 20 500", where the numbers after load
+// are the requests there, the service time and the slowdown.
 func (s *session) behave(name string, words []string) {
 	b := behavior{kind: dfuchoice.FeedbackKind(words[0]), latency: dfuclock.Duration(number(words[1]))}
 	switch {
@@ -133,6 +136,9 @@
 		b.slots = number(words[3])
 	case len(words) > 4 && words[2] == "load":
 		b.load = &dfuchoice.Load{InFlight: uint16(number(words[3])), ServiceTime: dfuclock.Duration(number(words[4]))}
+		if len(words) > 5 {
+			b.load.Slowdown = uint16(number(words[5]))
+		}
 	}
 	s.behaviors[name] = b
 	s.free[name] = make([]dfuclock.Time, b.slots)
@@ -146,6 +152,9 @@
 			Service: "svc", From: dfuident.Place{Region: "sued", Zone: "sued-a"}, Remaining: 500,
 			Idempotent: !slices.Contains(flags, "non_idempotent"), Body: 2000,
 		}
+		if slices.Contains(flags, "large") {
+			q.Kind, q.Body = 1, 60_000
+		}
 		s.advance(s.now.Add(interval))
 		for ; q.Attempt < 4; q.Attempt++ {
 			choice, ok := s.chooser.Choose(s.now, q)
--- a/core/connection/dfuchoice/target.go
+++ b/core/connection/dfuchoice/target.go
@@ -50,7 +50,9 @@
 	// observedAt is when an answer last was observed.
 	observedAt dfuclock.Time
 	// usual is a slow moving average of the reported service time.
-	usual  float64
+	usual float64
+	// pace is what is known of how fast the target works.
+	pace   pace
 	health health
 	// returned is when the target ended its last probation.
 	returned dfuclock.Time
@@ -113,6 +115,7 @@
 		return
 	}
 	t.usual = average(t.usual, float64(load.ServiceTime), smoothing)
+	t.pace.note(now, load.Slowdown)
 	total := float64(load.InFlight) + float64(load.Queued)
 	t.signal = signal{known: true, at: now, toldAt: now, load: load, others: max(0, total-float64(t.own))}
 }
--- a/core/connection/dfuchoice/wire.go
+++ b/core/connection/dfuchoice/wire.go
@@ -19,12 +19,13 @@
 // errLoad reports that bytes are no Load.
 var errLoad = errors.New("dfuchoice: malformed load")
 
-// AppendLoad appends the encoding of a load, 4 bytes for a small target: the
-// requests that run or wait as one number, the service time, and the lower
-// half of the sequence. The slots stand in the roster.
+// AppendLoad appends the encoding of a load, 5 bytes for a small target: the
+// requests that run or wait as one number, the service time, the slowdown, and
+// the lower half of the sequence. The slots stand in the roster.
 func AppendLoad(b []byte, load Load) []byte {
 	b = binary.AppendUvarint(b, uint64(load.InFlight)+uint64(load.Queued))
 	b = binary.AppendUvarint(b, uint64(min(max(load.ServiceTime, 0), maxWireLoad)))
+	b = binary.AppendUvarint(b, uint64(load.Slowdown))
 	return binary.BigEndian.AppendUint16(b, uint16(load.Sequence))
 }
 
@@ -35,13 +36,18 @@
 		return Load{}, errLoad
 	}
 	service, m := binary.Uvarint(b[n:])
-	if m <= 0 || service > maxWireLoad || len(b) != n+m+2 {
+	if m <= 0 || service > maxWireLoad {
+		return Load{}, errLoad
+	}
+	slowdown, k := binary.Uvarint(b[n+m:])
+	if k <= 0 || slowdown > maxWireLoad || len(b) != n+m+k+2 {
 		return Load{}, errLoad
 	}
 	return Load{
 		InFlight:    uint16(outstanding),
 		ServiceTime: dfuclock.Duration(service),
-		Sequence:    uint32(binary.BigEndian.Uint16(b[n+m:])),
+		Slowdown:    uint16(slowdown),
+		Sequence:    uint32(binary.BigEndian.Uint16(b[n+m+k:])),
 	}, nil
 }
 
--- a/core/process/dfuident/ident.go
+++ b/core/process/dfuident/ident.go
@@ -50,6 +50,10 @@
 // another one.
 type Instance string
 
+// Kind tells requests of a service apart that take different times and bytes,
+// such as those of different routes. Zero is a kind too.
+type Kind uint64
+
 // Bytes is a number of bytes.
 type Bytes int64
 
--- a/core/request/dfuattempt/arrive.go
+++ b/core/request/dfuattempt/arrive.go
@@ -19,6 +19,7 @@
 		number:     e.Request,
 		service:    e.Service,
 		caller:     e.Caller,
+		kind:       e.Kind,
 		key:        e.Key,
 		idempotent: e.Idempotent,
 		deadline:   now.Add(e.Remaining),
--- a/core/request/dfuattempt/attempts.go
+++ b/core/request/dfuattempt/attempts.go
@@ -64,6 +64,7 @@
 	number     RequestNumber
 	service    dfuident.Service
 	caller     dfuident.Caller
+	kind       dfuident.Kind
 	key        dfuident.Key
 	idempotent bool
 	deadline   dfuclock.Time
--- a/core/request/dfuattempt/event.go
+++ b/core/request/dfuattempt/event.go
@@ -23,6 +23,7 @@
 	Service    dfuident.Service
 	Caller     dfuident.Caller
 	Class      dfugate.Class
+	Kind       dfuident.Kind
 	Key        dfuident.Key
 	Idempotent bool
 	// Remaining is the time left until the request's deadline.
@@ -56,6 +57,8 @@
 	RetriedBelow bool
 	// Load is nil if the answer carried none.
 	Load *dfuchoice.Load
+	// Answer is the size of the target's answer.
+	Answer dfuident.Bytes
 }
 
 // NotSent reports that no byte of the attempt left this node, nor will.
--- a/core/request/dfuattempt/finish.go
+++ b/core/request/dfuattempt/finish.go
@@ -47,6 +47,7 @@
 	}
 	a.reported = true
 	f.Node = a.to
+	f.RequestKind = a.request.kind
 	f.Latency = now.Sub(a.sent)
 	m.chooser.Done(now, f)
 }
--- a/core/request/dfuattempt/reply.go
+++ b/core/request/dfuattempt/reply.go
@@ -16,7 +16,7 @@
 		if e.TargetError {
 			kind = dfuchoice.FeedbackTargetError
 		}
-		m.report(now, a, dfuchoice.Feedback{Kind: kind, Load: e.Load})
+		m.report(now, a, dfuchoice.Feedback{Kind: kind, Load: e.Load, Answer: e.Answer})
 		m.finish(now, a.request, a.id, dfuoutcome.Answered, dfuoutcome.ReasonNone)
 	case dfuoutcome.NotRun:
 		m.report(now, a, dfuchoice.Feedback{Kind: dfuchoice.FeedbackRefused, Load: e.Load})
--- a/core/request/dfuattempt/send.go
+++ b/core/request/dfuattempt/send.go
@@ -77,6 +77,7 @@
 func (m *Machine) query(now dfuclock.Time, r *request) dfuchoice.Query {
 	return dfuchoice.Query{
 		Service:    r.service,
+		Kind:       r.kind,
 		From:       m.place,
 		Remaining:  r.deadline.Sub(now),
 		Idempotent: r.idempotent,
--- a/core/request/dfugate/event.go
+++ b/core/request/dfugate/event.go
@@ -39,7 +39,7 @@
 	Key         dfuident.Key
 	Fingerprint dfucrash.Fingerprint
 	// Kind tells requests apart that take different times.
-	Kind Kind
+	Kind dfuident.Kind
 	// Remaining is the time left until the request's deadline.
 	Remaining  dfuclock.Duration
 	Idempotent bool
--- a/core/request/dfugate/fullness.go
+++ b/core/request/dfugate/fullness.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
 )
 
 // Some targets slow all their work down when nearly all of their slots are
@@ -35,16 +36,12 @@
 	fullnessMemory = 30 * dfuclock.Second
 )
 
-// Kind tells requests apart that take different times, such as those of
-// different routes. Zero is a kind too.
-type Kind uint64
-
 // workTime is an amount of work in ms at the target's usual pace.
 type workTime float64
 
 // fullness finds out whether a target slows down when it is nearly full.
 type fullness struct {
-	kinds map[Kind]*levels
+	kinds map[dfuident.Kind]*levels
 	// exploring says that only times of work of a nearly full target are known,
 	// so that fewer slots are used until others are.
 	exploring bool
@@ -89,7 +86,7 @@
 
 // note learns from a finished run that began and ended while so many of the
 // slots were taken. Runs that began and ended at different levels say nothing.
-func (f *fullness) note(now dfuclock.Time, kind Kind, slots, atStart, atEnd int, w workTime) {
+func (f *fullness) note(now dfuclock.Time, kind dfuident.Kind, slots, atStart, atEnd int, w workTime) {
 	limit := nearlyFull(slots)
 	if (atStart > limit) != (atEnd > limit) || w <= 0 {
 		return
@@ -100,7 +97,7 @@
 			return
 		}
 		if f.kinds == nil {
-			f.kinds = make(map[Kind]*levels)
+			f.kinds = make(map[dfuident.Kind]*levels)
 		}
 		l = &levels{}
 		f.kinds[kind] = l
--- a/core/request/dfugate/machine.go
+++ b/core/request/dfugate/machine.go
@@ -47,6 +47,9 @@
 	ServiceTime dfuclock.Duration `json:"service_time"`
 	// Sequence grows with every event, so that a late report is recognized.
 	Sequence uint32 `json:"sequence"`
+	// Slowdown is how long work takes at the moment in percent of the usual
+	// time; zero if the target hasn't told it lately.
+	Slowdown uint16 `json:"slowdown,omitempty"`
 }
 
 // Machine is a gate. It is not safe for concurrent use.
@@ -122,7 +125,7 @@
 	class       Class
 	key         dfuident.Key
 	fingerprint dfucrash.Fingerprint
-	kind        Kind
+	kind        dfuident.Kind
 	idempotent  bool
 	noWait      bool
 	deadline    dfuclock.Time
@@ -226,6 +229,7 @@
 		Queued:      uint16(m.waiting()),
 		Slots:       uint16(m.slots()),
 		ServiceTime: m.service.mean(),
+		Slowdown:    m.pace.recent(m.now),
 		Sequence:    m.sequence,
 	}
 }
--- a/core/request/dfugate/pace.go
+++ b/core/request/dfugate/pace.go
@@ -1,6 +1,7 @@
 package dfugate
 
 import (
+	"math"
 	"slices"
 
 	"dragonflyusher/core/process/dfuclock"
@@ -36,6 +37,14 @@
 	return p.told && now.Sub(p.at) <= paceLifetime
 }
 
+// recent returns the slowdown while it still holds, otherwise zero.
+func (p *pace) recent(now dfuclock.Time) uint16 {
+	if !p.fresh(now) {
+		return 0
+	}
+	return uint16(min(p.slowdown, math.MaxUint16))
+}
+
 // work returns how much work a run would have done by now, in ms at the usual
 // pace. Only differences of it mean something.
 func (p *pace) work(now dfuclock.Time) workTime {
--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -365,7 +365,7 @@
 
 		HealthPath: n.healthPath,
 	})
-	chooser := dfuchoice.New(dfuchoice.DefaultSettings(), newRand())
+	chooser := dfuchoice.New(n.chooserSettings(), newRand())
 	random := newRand()
 	entry := dfudispatch.New(dfudispatch.Deps{
 		Self:    self,
@@ -420,6 +420,14 @@
 	return ""
 }
 
+// chooserSettings returns how targets are chosen.
+func (n *Node) chooserSettings() dfuchoice.Settings {
+	if n.adapters.Routed {
+		return dfuchoice.PacedSettings()
+	}
+	return dfuchoice.DefaultSettings()
+}
+
 // healthPath returns the path at which the target beside the node tells its
 // load.
 func (n *Node) healthPath() string {
--- a/io/request/dfuadmission/offer.go
+++ b/io/request/dfuadmission/offer.go
@@ -116,7 +116,7 @@
 	}
 	delete(d.pending, id)
 	reply := &dfumessage.Reply{ID: id, Outcome: outcome, Reason: reason}
-	if outcome == dfuoutcome.NotRun {
+	if outcome == dfuoutcome.NotRun || d.deps.Machine.Load().Slowdown > 0 {
 		reply.Load = d.load(r.offer.From)
 	}
 	if outcome == dfuoutcome.Answered {
--- a/io/request/dfudispatch/admit.go
+++ b/io/request/dfudispatch/admit.go
@@ -84,6 +84,7 @@
 		event.Class = dfugate.Class(min(max(r.Priority, 0), dfugate.ClassCount-1))
 		event.Idempotent = event.Idempotent && dfuroute.Repeats(r.Kind)
 		event.Targets = r.Attempts
+		event.Kind = kind(r)
 		event.Key = ""
 	}
 	return event
--- a/io/request/dfudispatch/attempt.go
+++ b/io/request/dfudispatch/attempt.go
@@ -111,7 +111,7 @@
 		Idempotent:  r.event.Idempotent,
 		NoClaim:     r.noClaim,
 		Class:       r.event.Class,
-		Kind:        kind(r.call.Route),
+		Kind:        r.event.Kind,
 		NoWait:      !a.Wait,
 		From:        d.deps.Place.Region,
 		Bulk:        r.bulk,
@@ -162,6 +162,7 @@
 			TargetError:  reply.Answer.BlamesTarget(),
 			RetriedBelow: reply.Answer.Has(dfutarget.HeaderRetried),
 			Load:         loadOf(reply),
+			Answer:       dfuident.Bytes(len(reply.Answer.Body)),
 		},
 	}
 }
--- a/io/request/dfudispatch/attempt_test.go
+++ b/io/request/dfudispatch/attempt_test.go
@@ -34,7 +34,7 @@
 		err   error
 		want  dfuattempt.Event
 	}{
-		{"own", reply(id, id, "x", "x"), nil, dfuattempt.Replied{ID: id, Outcome: dfuoutcome.Answered}},
+		{"own", reply(id, id, "x", "x"), nil, dfuattempt.Replied{ID: id, Outcome: dfuoutcome.Answered, Answer: 1}},
 		{"under another id", reply(other, other, "x", "x"), nil, dfuattempt.LinkLost{ID: id}},
 		{"body of another request", reply(id, other, "x", "x"), nil, dfuattempt.LinkLost{ID: id}},
 		{"body of a former incarnation", reply(id, former, "x", "x"), nil, dfuattempt.LinkLost{ID: id}},
--- a/io/request/dfudispatch/convert.go
+++ b/io/request/dfudispatch/convert.go
@@ -23,11 +23,11 @@
 }
 
 // kind tells the requests of different routes apart.
-func kind(r *dfuroute.Route) dfugate.Kind {
+func kind(r *dfuroute.Route) dfuident.Kind {
 	if r == nil {
 		return 0
 	}
-	return dfugate.Kind(xxhash.Sum64String(r.Name))
+	return dfuident.Kind(xxhash.Sum64String(r.Name))
 }
 
 // allowance bounds what a caller's header grants.
--- a/io/request/dfumessage/message.go
+++ b/io/request/dfumessage/message.go
@@ -42,7 +42,7 @@
 	Allowance  int
 	Idempotent bool
 	// Kind tells requests apart that take different times.
-	Kind dfugate.Kind
+	Kind dfuident.Kind
 	// Class ranks the request for a service without a catalogue entry.
 	Class dfugate.Class
 	// NoClaim says that a non-idempotent request runs at most once for its id
