core/request/dfugate: serve by objective under overload, refuse early what misses it

Change: a request has an objective, what is left of its route's target latency. The gate runs those first that can still make theirs, earliest first; it refuses one that would have to wait and miss it, and those that missed it while many wait. A request that a running one waits for goes first and is held to its deadline alone: a refused call wastes its parent's slot. The entry node asks no target that told lately that its queue is too long. Callers are served better: they learn at once that there is no place, and those that get one get it in time.

--- a/core/connection/dfuchoice/choice.go
+++ b/core/connection/dfuchoice/choice.go
@@ -14,6 +14,9 @@
 	From dfuident.Place
 	// Remaining is the time left until the request's deadline.
 	Remaining dfuclock.Duration
+	// Objective is the time left within which an answer is worth most; zero if
+	// there is none.
+	Objective dfuclock.Duration
 	// Idempotent says that the request may run more than once.
 	Idempotent bool
 	// Body is the size of the request and of its expected answer, which
--- a/core/connection/dfuchoice/paced.go
+++ b/core/connection/dfuchoice/paced.go
@@ -5,6 +5,7 @@
 
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/process/dfuquantile"
 )
 
 const (
@@ -19,9 +20,8 @@
 	// kindsMax bounds the kinds of requests of a service that are told apart.
 	kindsMax = 256
 	// workQuantile is the quantile of the latencies of a kind that stands for
-	// its work at the usual pace, and workStep how far one latency moves it.
+	// its work at the usual pace.
 	workQuantile = 0.3
-	workStep     = 0.1
 	// waitsMax is how often a target may refuse a request that would wait there.
 	waitsMax = 2
 )
@@ -29,7 +29,7 @@
 // kindState is what is known of one kind of requests.
 type kindState struct {
 	// work is the time in milliseconds that a target takes at its usual pace.
-	work float64
+	work dfuquantile.Estimate
 	// answer is a moving average of the size of an answer.
 	answer float64
 }
@@ -47,15 +47,7 @@
 		k = &kindState{}
 		s.kinds[f.RequestKind] = k
 	}
-	latency := max(1, float64(f.Latency)-network)
-	switch {
-	case k.work == 0:
-		k.work = latency
-	case latency < k.work:
-		k.work -= workStep * (1 - workQuantile) * k.work
-	default:
-		k.work += workStep * workQuantile * k.work
-	}
+	k.work.Add(max(1, float64(f.Latency)-network), workQuantile)
 	k.answer = average(k.answer, float64(f.Answer), smoothing)
 }
 
@@ -77,11 +69,14 @@
 	var best *targetState
 	least := 0.0
 	for _, t := range c.draw(usable, len(usable)) {
-		cost := c.pacedCost(now, q, state, t)
-		if best == nil || cost < least {
+		cost, inTime := c.pacedCost(now, q, state, t)
+		if inTime && (best == nil || cost < least) {
 			best, least = t, cost
 		}
 	}
+	if best == nil {
+		return Choice{}, false
+	}
 	choice := plainChoice(q, best)
 	choice.Wait = slices.Contains(q.Refused, best.target.Member.Node)
 	if reason != "" {
@@ -101,25 +96,29 @@
 }
 
 // pacedCost returns the expected time in milliseconds until a target's answer,
-// raised by the price of the bytes and by recent failures.
-func (c *Chooser) pacedCost(now dfuclock.Time, q Query, state *serviceState, t *targetState) float64 {
-	k := state.kinds[q.Kind]
-	if k == nil {
-		k = &kindState{work: t.usualService()}
+// raised by the price of the bytes and by recent failures. It also reports
+// whether the target can answer in time: one that told lately that its queue is
+// too long for that is not asked again.
+func (c *Chooser) pacedCost(now dfuclock.Time, q Query, state *serviceState, t *targetState) (cost float64, inTime bool) {
+	work, answerBytes := t.usualService(), 0.0
+	if k := state.kinds[q.Kind]; k != nil {
+		work, answerBytes = k.work.Value(), k.answer
 	}
 	slots := t.slots()
 	outstanding := float64(t.own) + t.others(now)
 	service := t.usualService()
 	wait := max(0, outstanding+1-slots) * service / slots
-	occupied := occupancy * k.work * outstanding / slots
-	answer := wait + k.work + occupied + t.pace.extra(now, k.work)
-	return answer*t.health.penalty(now) + t.networkTime(q.From, c.settings.Delays) + c.bytesPrice(q, k, t)
+	occupied := occupancy * work * outstanding / slots
+	answer := wait + work + occupied + t.pace.extra(now, work)
+	network := t.networkTime(q.From, c.settings.Delays)
+	bytes := float64(q.Body) + answerBytes + framingBytes
+	inTime = q.Objective == 0 || wait == 0 || wait+work+network <= float64(q.Objective)
+	return answer*t.health.penalty(now) + network + c.bytesPrice(q, bytes, t), inTime
 }
 
-// bytesPrice returns what the bytes of a request to a target and of its answer
-// are worth, in milliseconds of latency.
-func (c *Chooser) bytesPrice(q Query, k *kindState, t *targetState) float64 {
-	bytes := float64(q.Body) + k.answer + framingBytes
+// bytesPrice returns what the bytes to a target and back are worth, in
+// milliseconds of latency.
+func (c *Chooser) bytesPrice(q Query, bytes float64, t *targetState) float64 {
 	switch {
 	case t.target.Place == q.From:
 		return 0
--- /dev/null
+++ b/core/process/dfuquantile/doc.go
@@ -0,0 +1,3 @@
+// Package dfuquantile estimates a quantile of a stream of numbers in constant
+// memory.
+package dfuquantile
--- a/core/request/dfuattempt/action.go
+++ b/core/request/dfuattempt/action.go
@@ -34,6 +34,8 @@
 	To      dfuident.Member
 	// Remaining is the time that the gate is given.
 	Remaining dfuclock.Duration
+	// Objective is what is left of the request's objective, or zero.
+	Objective dfuclock.Duration
 	// Attempt counts from 1.
 	Attempt int
 	Reason  SendReason
--- a/core/request/dfuattempt/arrive.go
+++ b/core/request/dfuattempt/arrive.go
@@ -28,6 +28,9 @@
 		owner:      e.Owner,
 		targets:    e.Targets,
 	}
+	if e.Objective > 0 {
+		r.objective = now.Add(e.Objective)
+	}
 	r.due = r.deadline
 	m.requests[r.number] = r
 	m.timers.Push(r)
--- a/core/request/dfuattempt/attempts.go
+++ b/core/request/dfuattempt/attempts.go
@@ -68,6 +68,7 @@
 	key        dfuident.Key
 	idempotent bool
 	deadline   dfuclock.Time
+	objective  dfuclock.Time
 	body       dfuident.Bytes
 	allowance  dfubudget.Allowance
 	owner      dfuident.Member
--- a/core/request/dfuattempt/event.go
+++ b/core/request/dfuattempt/event.go
@@ -28,6 +28,9 @@
 	Idempotent bool
 	// Remaining is the time left until the request's deadline.
 	Remaining dfuclock.Duration
+	// Objective is the time left within which an answer is worth most; zero if
+	// there is none.
+	Objective dfuclock.Duration
 	// Body is the size of the request and of its expected answer.
 	Body dfuident.Bytes
 	// Allowance is how many extra attempts the level above grants.
--- a/core/request/dfuattempt/reply.go
+++ b/core/request/dfuattempt/reply.go
@@ -41,13 +41,24 @@
 
 // noteRefused keeps what the next choice has to know of a refusal.
 func (r *request) noteRefused(node dfuident.NodeID, reason dfuoutcome.Reason) {
-	busy := reason == dfuoutcome.ReasonQueueFull || reason == dfuoutcome.ReasonTargetSlow
+	busy := isBusy(reason)
 	r.looking = busy || reason == dfuoutcome.ReasonDraining
 	if busy {
 		r.refused = append(r.refused, node)
 	}
 }
 
+// isBusy reports whether a target's node refused because the target has too much
+// to do at the moment.
+func isBusy(reason dfuoutcome.Reason) bool {
+	switch reason {
+	case dfuoutcome.ReasonQueueFull, dfuoutcome.ReasonTargetSlow, dfuoutcome.ReasonObjectiveMissed:
+		return true
+	default:
+		return false
+	}
+}
+
 // unknownKind returns what an unknown outcome tells about the target.
 func unknownKind(reason dfuoutcome.Reason) dfuchoice.FeedbackKind {
 	switch reason {
--- a/core/request/dfuattempt/send.go
+++ b/core/request/dfuattempt/send.go
@@ -41,6 +41,7 @@
 		Request:   r.number,
 		To:        a.to,
 		Remaining: remaining,
+		Objective: r.left(now),
 		Attempt:   r.sent,
 		Reason:    reason,
 		Choice:    choice.Reason,
@@ -80,6 +81,7 @@
 		Kind:       r.kind,
 		From:       m.place,
 		Remaining:  r.deadline.Sub(now),
+		Objective:  r.left(now),
 		Idempotent: r.idempotent,
 		Body:       r.body,
 		Excluded:   r.excluded,
@@ -88,6 +90,15 @@
 	}
 }
 
+// left returns the time left of the objective, at least a millisecond, or zero
+// if there is none.
+func (r *request) left(now dfuclock.Time) dfuclock.Duration {
+	if r.objective == 0 {
+		return 0
+	}
+	return max(r.objective.Sub(now), dfuclock.Millisecond)
+}
+
 // charge takes an extra attempt off the allowance and the budget.
 func (m *Machine) charge(r *request) bool {
 	allowance, ok := r.allowance.Extra(false)
--- a/core/request/dfugate/dispatch.go
+++ b/core/request/dfugate/dispatch.go
@@ -11,11 +11,9 @@
 // deadline is checked once more right here, since this process may have been
 // paused for any length of time.
 func (m *Machine) dispatch(now dfuclock.Time) {
+	m.shedLate(now)
 	for len(m.running) < m.slots() {
-		suspect := m.suspectRunning(now)
-		r := m.queue.next(func(r *record) bool {
-			return !suspect || !m.crash.Suspected(now, r.fingerprint)
-		})
+		r := m.next(now)
 		if r == nil {
 			return
 		}
@@ -32,6 +30,20 @@
 	}
 }
 
+// next returns the request that runs next: of those that can still be answered
+// within their objective or that a running request waits for, or else of all.
+func (m *Machine) next(now dfuclock.Time) *record {
+	suspect := m.suspectRunning(now)
+	may := func(r *record) bool {
+		return !suspect || !m.crash.Suspected(now, r.fingerprint)
+	}
+	r := m.queue.next(func(r *record) bool { return may(r) && m.isTimely(now, r) })
+	if r != nil {
+		return r
+	}
+	return m.queue.next(may)
+}
+
 // hopeless reports whether a request would probably miss its deadline in a slot
 // that another one waits for. The last one waiting always runs, so that a wrong
 // mean corrects itself.
--- a/core/request/dfugate/event.go
+++ b/core/request/dfugate/event.go
@@ -41,7 +41,10 @@
 	// Kind tells requests apart that take different times.
 	Kind dfuident.Kind
 	// Remaining is the time left until the request's deadline.
-	Remaining  dfuclock.Duration
+	Remaining dfuclock.Duration
+	// Objective is the time left within which an answer is worth most; zero if
+	// there is none.
+	Objective  dfuclock.Duration
 	Idempotent bool
 	// NoClaim says that a non-idempotent request runs at most once for its id
 	// alone, which the gate sees to without a claim.
@@ -49,6 +52,8 @@
 	// NoWait asks to refuse the request if it finds no free slot, so that its
 	// entry node can look elsewhere.
 	NoWait bool
+	// Nested says that a request which is running waits for this one.
+	Nested bool
 	// Settled is the sequence below which the entry node needs no answer.
 	Settled uint64
 }
--- a/core/request/dfugate/load_test.go
+++ b/core/request/dfugate/load_test.go
@@ -69,13 +69,17 @@
 	return load
 }
 
+// wanted is the time within which a simulated request should be answered.
+const wanted = 400
+
 // overload offers a gate more work than its target can do for some time, and
-// returns how many requests were finished.
-func overload(cfg dfugate.Config, s *simulatedTarget, length dfuclock.Time) int {
+// returns how many requests were finished, and how many of them within the time
+// wanted. The gate is told that time if it is to go by it.
+func overload(cfg dfugate.Config, s *simulatedTarget, length dfuclock.Time, objective dfuclock.Duration) (finished, inTime int) {
 	cfg.Limits = dfugate.Limits{Queue: 64}
 	s.running = make(map[dfuident.RequestID]float64)
 	m := dfugate.New(cfg, dfuident.Member{Node: "gate", Incarnation: 1})
-	finished := 0
+	arrived := make(map[dfuident.RequestID]dfuclock.Time)
 	sequence := uint64(0)
 	now := dfuclock.Time(0)
 	var step func(dfugate.Event)
@@ -93,6 +97,9 @@
 				if a.Outcome == dfuoutcome.Answered {
 					finished++
 				}
+				if a.Outcome == dfuoutcome.Answered && now.Sub(arrived[a.ID]) <= wanted {
+					inTime++
+				}
 			default:
 			}
 		}
@@ -106,10 +113,13 @@
 		}
 		if s.work.Float64() < share*float64(s.slots)/100 {
 			sequence++
+			id := dfuident.RequestID{Entry: dfuident.Member{Node: "shop", Incarnation: 1}, Sequence: sequence}
+			arrived[id] = now
 			step(dfugate.Offer{
-				ID:         dfuident.RequestID{Entry: dfuident.Member{Node: "shop", Incarnation: 1}, Sequence: sequence},
+				ID:         id,
 				Service:    "lager",
-				Remaining:  2000,
+				Remaining:  1000,
+				Objective:  objective,
 				Idempotent: true,
 			})
 		}
@@ -120,7 +130,7 @@
 		}
 		step(dfugate.Tick{})
 	}
-	return finished
+	return finished, inTime
 }
 
 // Adaptive concurrency: a target that slows down when it is nearly full gets
@@ -133,10 +143,11 @@
 		finished := func(allSlots bool, factor float64) int {
 			cfg := dfugate.DefaultConfig()
 			cfg.AllSlots = allSlots
-			return overload(cfg, &simulatedTarget{
+			n, _ := overload(cfg, &simulatedTarget{
 				neighbors: rand.New(rand.NewPCG(seed, 1)), work: rand.New(rand.NewPCG(seed, 2)),
 				slots: 12, knee: 0.8, kneeFactor: factor, disturbed: 0.25,
-			}, length)
+			}, length, 0)
+			return n
 		}
 		before, after := finished(true, 1.7), finished(false, 1.7)
 		t.Logf("seed %d: %d finished with all slots, %d with fewer", seed, before, after)
@@ -146,3 +157,24 @@
 		is.True(after*100 >= before*95) // hardly fewer
 	}
 }
+
+// Earliest deadline first with admission control: under overload the gate that
+// goes by objectives answers several times as many requests within the time
+// wanted as the earlier one, which goes by deadlines and fills them up with
+// waiting.
+func TestObjectivesUnderOverload(t *testing.T) {
+	const length = 60_000
+	for seed := range uint64(5) {
+		is := is.New(t)
+		inTime := func(objective dfuclock.Duration) int {
+			_, n := overload(dfugate.DefaultConfig(), &simulatedTarget{
+				neighbors: rand.New(rand.NewPCG(seed, 1)), work: rand.New(rand.NewPCG(seed, 2)),
+				slots: 12, knee: 1, disturbed: 0.25,
+			}, length, objective)
+			return n
+		}
+		before, after := inTime(0), inTime(wanted)
+		t.Logf("seed %d: %d in time by deadlines, %d by objectives", seed, before, after)
+		is.True(after >= 2*before)
+	}
+}
--- a/core/request/dfugate/machine.go
+++ b/core/request/dfugate/machine.go
@@ -4,6 +4,7 @@
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuheap"
 	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/process/dfuquantile"
 	"dragonflyusher/core/request/dfucrash"
 	"dragonflyusher/core/request/dfuoutcome"
 )
@@ -61,6 +62,7 @@
 	rate    rateLimit
 	target  target
 	service serviceTime
+	kinds   map[dfuident.Kind]*dfuquantile.Estimate
 	pace    pace
 	full    fullness
 	// now is the time of the present step.
@@ -128,8 +130,11 @@
 	kind        dfuident.Kind
 	idempotent  bool
 	noWait      bool
+	nested      bool
 	deadline    dfuclock.Time
-	arrival     uint64
+	// objective is when an answer is no longer worth most, or zero.
+	objective dfuclock.Time
+	arrival   uint64
 
 	state   state
 	claimed bool
@@ -153,6 +158,7 @@
 		crash:    dfucrash.New(cfg.Crash),
 		live:     make(map[dfuident.RequestID]*record),
 		unwanted: make(map[dfuident.RequestID]ReleaseClaim),
+		kinds:    make(map[dfuident.Kind]*dfuquantile.Estimate),
 		queue:    newQueue(),
 		timers:   newTimers(),
 		ledger:   newLedger(cfg.VerdictsMax, cfg.EntriesMax),
--- a/core/request/dfugate/offer.go
+++ b/core/request/dfugate/offer.go
@@ -94,7 +94,7 @@
 
 func (m *Machine) newRecord(now dfuclock.Time, o Offer) *record {
 	m.arrivals++
-	return &record{
+	r := &record{
 		id:          o.ID,
 		service:     o.Service,
 		caller:      o.Caller,
@@ -104,9 +104,14 @@
 		kind:        o.Kind,
 		idempotent:  o.Idempotent,
 		noWait:      o.NoWait,
+		nested:      o.Nested,
 		deadline:    now.Add(o.Remaining),
 		arrival:     m.arrivals,
 	}
+	if o.Objective > 0 {
+		r.objective = now.Add(o.Objective)
+	}
+	return r
 }
 
 // admit returns why a request can't wait here, or makes room for it.
@@ -124,6 +129,8 @@
 		return dfuoutcome.ReasonRateLimited
 	case m.tooLate(now, r):
 		return dfuoutcome.ReasonDeadlineTooShort
+	case m.missesObjective(now, r):
+		return dfuoutcome.ReasonObjectiveMissed
 	}
 	occupied := len(m.running) + m.waiting()
 	if r.noWait && occupied >= m.slots() {
@@ -151,10 +158,13 @@
 	if len(m.running)+m.waiting() < slots || slots == 0 {
 		return false
 	}
-	mean := m.service.mean()
-	turns := dfuclock.Duration(m.queue.ahead(r.class) + m.claiming + 1)
-	wait := mean * turns / dfuclock.Duration(slots)
-	return wait+mean > r.deadline.Sub(now)
+	return m.wait(r)+m.service.mean() > r.deadline.Sub(now)
+}
+
+// wait returns the expected time until a request that comes now gets a slot.
+func (m *Machine) wait(r *record) dfuclock.Duration {
+	turns := dfuclock.Duration(m.queue.ahead(r.class) + m.claiming + len(m.asking) + 1)
+	return m.service.mean() * turns / dfuclock.Duration(max(m.slots(), 1))
 }
 
 func (m *Machine) shed(victim, r *record) {
--- a/core/request/dfugate/queue.go
+++ b/core/request/dfugate/queue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 
+	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuheap"
 	"dragonflyusher/core/process/dfuident"
 )
@@ -74,7 +75,7 @@
 	}
 	var first *record
 	for _, r := range c.waiting.All() {
-		if may(r) && (first == nil || before(r, first)) {
+		if may(r) && (first == nil || sooner(r, first)) {
 			first = r
 		}
 	}
@@ -99,6 +100,17 @@
 	}
 }
 
+// all returns every waiting request.
+func (q *queue) all() []*record {
+	var all []*record
+	for i := range q.classes {
+		for _, caller := range q.classes[i].turn {
+			all = append(all, caller.waiting.All()...)
+		}
+	}
+	return all
+}
+
 // ahead returns how many waiting requests are of the class or a higher one.
 func (q *queue) ahead(class Class) int {
 	n := 0
@@ -146,7 +158,7 @@
 func (c *callerQueue) last() *record {
 	last := c.waiting.First()
 	for _, r := range c.waiting.All()[1:] {
-		if before(last, r) {
+		if sooner(last, r) {
 			last = r
 		}
 	}
@@ -158,9 +170,24 @@
 	return cmp.Or(cmp.Compare(a.deadline, b.deadline), cmp.Compare(a.arrival, b.arrival)) < 0
 }
 
-// newWaiting returns an empty heap of waiting records by deadline.
+// sooner orders records by objective, or by deadline if they have none, and then
+// by arrival.
+func sooner(a, b *record) bool {
+	return cmp.Or(cmp.Compare(a.wanted(), b.wanted()), cmp.Compare(a.arrival, b.arrival)) < 0
+}
+
+// wanted returns when the request should be answered.
+func (r *record) wanted() dfuclock.Time {
+	if r.objective > 0 {
+		return r.objective
+	}
+	return r.deadline
+}
+
+// newWaiting returns an empty heap of waiting records by when they should be
+// answered.
 func newWaiting() *dfuheap.Heap[*record] {
-	return dfuheap.New(before, func(r *record) *int { return &r.queueIndex })
+	return dfuheap.New(sooner, func(r *record) *int { return &r.queueIndex })
 }
 
 // newTimers returns an empty heap of live records by deadline.
--- a/core/request/dfugate/target.go
+++ b/core/request/dfugate/target.go
@@ -64,6 +64,7 @@
 	}
 	if !e.Failed && r.canceled == dfuoutcome.ReasonNone {
 		m.service.add(now.Sub(r.started))
+		m.noteTime(r.kind, now.Sub(r.started))
 		m.target.warm = min(m.target.warm+1, m.target.slots)
 		m.full.note(now, r.kind, m.target.slots, r.startedLevel, len(m.running), m.pace.work(now)-r.startedWork)
 	}
--- a/core/request/dfuoutcome/outcome.go
+++ b/core/request/dfuoutcome/outcome.go
@@ -41,6 +41,7 @@
 const (
 	ReasonQueueFull        Reason = "queue_full"
 	ReasonDeadlineTooShort Reason = "deadline_too_short"
+	ReasonObjectiveMissed  Reason = "objective_missed"
 	ReasonDraining         Reason = "draining"
 	ReasonNoLocalTarget    Reason = "no_local_target"
 	ReasonRateLimited      Reason = "rate_limited"
--- a/io/connection/dfufront/front.go
+++ b/io/connection/dfufront/front.go
@@ -24,6 +24,11 @@
 	Host    string
 	// CallerRequest is the caller's own id of the request, if it has one.
 	CallerRequest string
+	// ParentRequest is the caller's own id of the request that this one was
+	// probably made for; empty if it tells none.
+	ParentRequest string
+	// Returned says that the caller has probably tried before.
+	Returned bool
 	// Route is the route that chose Service, or nil.
 	Route       *dfuroute.Route
 	Caller      dfuident.Caller
--- a/io/connection/dfutarget/client.go
+++ b/io/connection/dfutarget/client.go
@@ -112,7 +112,7 @@
 // requests. The end of ctx ends it.
 func (c *Client) Ask(ctx context.Context, path string) (dfugate.TargetLoad, error) {
 	offer := &dfumessage.Offer{Method: fasthttp.MethodGet, URI: path, Idempotent: true}
-	result, err := c.run(ctx, offer, func(h *fasthttp.RequestHeader) {})
+	result, err := c.run(ctx, offer, func(*fasthttp.RequestHeader) {})
 	switch {
 	case err != nil:
 		return dfugate.TargetLoad{}, err
--- a/io/process/dfunode/gates.go
+++ b/io/process/dfunode/gates.go
@@ -66,8 +66,11 @@
 
 // Offer runs a request and fills in its reply.
 func (r *receiver) Offer(offer *dfumessage.Offer, reply *dfumessage.Reply) error {
-	entry, _, _ := r.view().Entry(offer.Service)
-	*reply = *r.duty.Offer(offer, dfugate.Class(entry.Class.Rank()))
+	class := offer.Class
+	if entry, revision, ok := r.view().Entry(offer.Service); !ok || revision > 0 {
+		class = dfugate.Class(entry.Class.Rank())
+	}
+	*reply = *r.duty.Offer(offer, class)
 	return nil
 }
 
--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -380,6 +380,7 @@
 		Machine: dfuattempt.New(dfuattempt.DefaultConfig(), self, n.place(), chooser, dfubudget.NewRetryBudget()),
 		Rand:    n.draw(random),
 		Local:   n.localService,
+		Runs:    gate.Runs,
 	})
 	target := &localTarget{
 		self:    self,
--- a/io/request/dfuadmission/duty.go
+++ b/io/request/dfuadmission/duty.go
@@ -52,10 +52,12 @@
 	runs     metrics.Counter
 	canceled metrics.Counter
 
-	mu       sync.Mutex
-	timer    *time.Timer
-	stopped  bool
-	pending  map[dfuident.RequestID]*run
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
+	pending map[dfuident.RequestID]*run
+	// running counts the runs on the target by their callers' own ids.
+	running  map[string]int
 	seal     *dfumessage.SealReply
 	kept     *keptAnswers
 	client   *dfutarget.Client
@@ -70,6 +72,7 @@
 	d := &Duty{
 		deps:     deps,
 		pending:  map[dfuident.RequestID]*run{},
+		running:  map[string]int{},
 		kept:     newKeptAnswers(),
 		refused:  map[dfuoutcome.Reason]int64{},
 		measured: dfubudget.NewMeasuring(deps.Clock.Now()),
@@ -93,6 +96,13 @@
 	d.step(event)
 }
 
+// Runs reports whether the target is running a request with a caller's own id.
+func (d *Duty) Runs(callerRequest string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.running[callerRequest] > 0
+}
+
 // Status returns the gate's state.
 func (d *Duty) Status() Status {
 	d.mu.Lock()
--- a/io/request/dfuadmission/offer.go
+++ b/io/request/dfuadmission/offer.go
@@ -193,6 +193,8 @@
 		Fingerprint: fingerprint(offer),
 		Kind:        offer.Kind,
 		Remaining:   offer.Remaining,
+		Objective:   offer.Objective,
+		Nested:      offer.Nested,
 		Idempotent:  offer.Idempotent,
 		NoClaim:     offer.NoClaim,
 		NoWait:      offer.NoWait,
--- a/io/request/dfuadmission/target.go
+++ b/io/request/dfuadmission/target.go
@@ -26,6 +26,7 @@
 	r := d.pending[a.ID]
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
+	d.running[r.offer.CallerRequest]++
 	d.runs.Inc(1)
 	r.span.AddEvent("handed_over")
 	r.wake <- order{ctx: ctx, client: d.client, remaining: a.Remaining}
@@ -71,6 +72,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.running[r.offer.CallerRequest]--; d.running[r.offer.CallerRequest] <= 0 {
+		delete(d.running, r.offer.CallerRequest)
+	}
 	r.answer = result.Answer
 	if result.Remark.Load != nil {
 		d.step(dfugate.TargetTold{Load: *result.Remark.Load})
--- a/io/request/dfudispatch/admit.go
+++ b/io/request/dfudispatch/admit.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"strings"
 
+	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/request/dfuattempt"
 	"dragonflyusher/core/request/dfugate"
@@ -33,10 +34,29 @@
 	}
 	call.Service = r.Pick(d.deps.Rand())
 	call.Route = r
+	call.Returned = call.Remaining*100 < r.Timeout*firstSharePercent
 	call.Remaining = min(call.Remaining, r.Timeout)
 	return nil
 }
 
+const (
+	// firstSharePercent is the share of a route's timeout that callers leave to
+	// their first try; less is left to one that comes back.
+	firstSharePercent = 80
+	// objectiveReserve is taken off the target latency for the way of the answer
+	// to the caller.
+	objectiveReserve = 10 * dfuclock.Millisecond
+)
+
+// objective returns the time within which a call is to be answered, or zero if
+// its caller has been waiting for too long already.
+func objective(call dfufront.Call) dfuclock.Duration {
+	if call.Returned {
+		return 0
+	}
+	return max(0, call.Route.TargetLatency-objectiveReserve)
+}
+
 // admit checks a call against the catalogue and returns the request that the
 // machine is given.
 func (d *Duty) admit(call dfufront.Call) (*request, *dfufront.Result) {
@@ -54,6 +74,11 @@
 	}
 	call.Remaining = min(call.Remaining, entry.Limits.Deadline)
 	r := &request{call: call, event: d.arrival(call, entry)}
+	if call.ParentRequest != "" && d.deps.Runs(call.ParentRequest) {
+		r.nested = true
+		r.event.Class = 0
+		r.event.Objective = 0
+	}
 	if !entry.NonIdempotent {
 		r.noClaim = !r.event.Idempotent
 		return r, nil
@@ -81,7 +106,8 @@
 		Hedge:      entry.Retry.Hedge && !entry.NonIdempotent,
 	}
 	if r := call.Route; r != nil {
-		event.Class = dfugate.Class(min(max(r.Priority, 0), dfugate.ClassCount-1))
+		event.Class = dfugate.Class(min(max(r.Priority, 1), dfugate.ClassCount-1))
+		event.Objective = objective(call)
 		event.Idempotent = event.Idempotent && dfuroute.Repeats(r.Kind)
 		event.Targets = r.Attempts
 		event.Kind = kind(r)
--- a/io/request/dfudispatch/attempt.go
+++ b/io/request/dfudispatch/attempt.go
@@ -106,6 +106,8 @@
 		Caller:      r.call.Caller,
 		Key:         r.call.Key,
 		Remaining:   a.Remaining,
+		Objective:   a.Objective,
+		Nested:      r.nested,
 		Settled:     a.Settled,
 		Allowance:   int(a.Allowance),
 		Idempotent:  r.event.Idempotent,
--- a/io/request/dfudispatch/duty.go
+++ b/io/request/dfudispatch/duty.go
@@ -57,6 +57,9 @@
 	Machine *dfuattempt.Machine
 	// Rand draws the part of a split route, from 0 up to but without 1.
 	Rand func() float64
+	// Runs reports whether the target beside this node is running a request with
+	// a caller's own id.
+	Runs func(callerRequest string) bool
 	// Local returns the service of the target beside this node.
 	Local func() dfuident.Service
 }
--- a/io/request/dfumessage/message.go
+++ b/io/request/dfumessage/message.go
@@ -36,6 +36,11 @@
 	Key     dfuident.Key
 	// Remaining is the time left until the caller's deadline.
 	Remaining dfuclock.Duration
+	// Objective is what is left of the time within which an answer is worth
+	// most; zero if there is none.
+	Objective dfuclock.Duration
+	// Nested says that a request which is running waits for this one.
+	Nested bool
 	// Settled is the sequence below which the entry node waits for nothing.
 	Settled uint64
 	// Allowance is the number of retries that the levels below may still make.
