core/process/dfubudget: share one budget of extra attempts among the fleet

Cause: each node saved up ten extra attempts for each service, 180 in a fleet of 18, where the deployments allow 64 besides a fifth of the requests in any 10 s, and calls made by repeated runs count too. Change: FleetBudget counts by a sliding window: the node's part is half of the ratio of its own callers' requests and of the reserve by the greatest number of nodes seen; a process that has just started has no reserve for a window. What never reached a target is not charged. Idempotent requests that a target answered with an error are tried at another one; the first error is kept as the answer.

--- /dev/null
+++ b/core/process/dfubudget/fleet_test.go
@@ -0,0 +1,89 @@
+package dfubudget_test
+
+import (
+	"testing"
+
+	"dragonflyusher/core/process/dfubudget"
+	"dragonflyusher/core/process/dfuclock"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// However the requests are split among the nodes, and however often nodes start
+// again, no window holds more extra attempts than the fleet's limits allow.
+func TestFleetBudgetHoldsForTheFleet(t *testing.T) {
+	limits := dfubudget.FleetLimits{Ratio: 0.2, Reserve: 64, Window: 10 * dfuclock.Second}
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 20).Draw(t, "nodes")
+		nodes := make([]*dfubudget.FleetBudget, n)
+		start := func(i int, now dfuclock.Time) {
+			nodes[i] = dfubudget.NewFleetBudget(now, limits)
+			// A node may see only a part of the fleet at first.
+			nodes[i].SetNodes(rapid.IntRange(1, n).Draw(t, "seen"))
+			nodes[i].SetNodes(n)
+		}
+		for i := range nodes {
+			start(i, 0)
+		}
+		var first, extra []dfuclock.Time
+		now := dfuclock.Time(0)
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(dfuclock.Duration(rapid.IntRange(0, 400).Draw(t, "pause")))
+			i := rapid.IntRange(0, n-1).Draw(t, "node")
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0:
+				start(i, now)
+			case 1, 2, 3, 4:
+				nodes[i].Earn(now, "lager", "", false)
+				first = append(first, now)
+			case 5:
+				nodes[i].Earn(now, "lager", "", true)
+			default:
+				if nodes[i].Take(now, "lager", "") {
+					extra = append(extra, now)
+				}
+			}
+		}
+		// The requests of the window before count as well, so that a window may
+		// hold what they allow.
+		for _, end := range extra {
+			in := func(times []dfuclock.Time, length dfuclock.Duration) (count int) {
+				for _, at := range times {
+					if at <= end && end.Sub(at) < length {
+						count++
+					}
+				}
+				return count
+			}
+			allowed := limits.Ratio*float64(in(first, 2*limits.Window)) + limits.Reserve
+			if float64(in(extra, limits.Window)) > allowed {
+				t.Fatalf("%d extra attempts in the window that ends at %d, %.1f allowed", in(extra, limits.Window), end, allowed)
+			}
+		}
+	})
+}
+
+// A node alone spends half of the ratio, and a part of the reserve only once a
+// window has passed since its start.
+func TestFleetBudgetOfOneNode(t *testing.T) {
+	is := is.New(t)
+	b := dfubudget.NewFleetBudget(0, dfubudget.FleetLimits{Ratio: 0.2, Reserve: 40, Window: 10 * dfuclock.Second})
+	b.SetNodes(4)
+	spend := func(now dfuclock.Time) (n int) {
+		for b.Take(now, "lager", "") {
+			n++
+		}
+		return n
+	}
+	is.Equal(spend(100), 0)
+	for range 100 {
+		b.Earn(200, "lager", "", false)
+		b.Earn(200, "lager", "", true)
+	}
+	is.Equal(spend(300), 10)
+	is.Equal(spend(5000), 0)
+	is.Equal(spend(20_000), 5)
+	is.Equal(spend(29_000), 0)
+	is.Equal(spend(31_000), 5)
+}
--- a/core/process/dfubudget/retry.go
+++ b/core/process/dfubudget/retry.go
@@ -1,6 +1,7 @@
 package dfubudget
 
 import (
+	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
 )
 
@@ -55,14 +56,14 @@
 }
 
 // Earn notes a first attempt.
-func (r *RetryBudget) Earn(service dfuident.Service, caller dfuident.Caller) {
+func (r *RetryBudget) Earn(_ dfuclock.Time, service dfuident.Service, caller dfuident.Caller, _ bool) {
 	for _, saved := range r.accounts(service, caller) {
 		*saved = min(*saved+retryPercent, retryReserve*retryCost)
 	}
 }
 
 // Take charges an extra attempt, and reports whether it may be sent.
-func (r *RetryBudget) Take(service dfuident.Service, caller dfuident.Caller) bool {
+func (r *RetryBudget) Take(_ dfuclock.Time, service dfuident.Service, caller dfuident.Caller) bool {
 	accounts := r.accounts(service, caller)
 	for _, saved := range accounts {
 		if *saved < retryCost {
--- a/core/process/dfubudget/session_test.go
+++ b/core/process/dfubudget/session_test.go
@@ -69,12 +69,12 @@
 			fmt.Fprintf(&out, ": %v %+v", measuring.Take(now, s), measuring.Usage(dfubudget.CauseProbe))
 		case "requests":
 			for range number(words[3]) {
-				retries.Earn("svc", dfuident.Caller(words[2]))
+				retries.Earn(now, "svc", dfuident.Caller(words[2]), false)
 			}
 		case "retries":
 			granted := 0
 			for range number(words[3]) {
-				if retries.Take("svc", dfuident.Caller(words[2])) {
+				if retries.Take(now, "svc", dfuident.Caller(words[2])) {
 					granted++
 				}
 			}
--- a/core/process/dfuclock/clock.go
+++ b/core/process/dfuclock/clock.go
@@ -1,6 +1,7 @@
 package dfuclock
 
 import (
+	"math"
 	"strconv"
 	"time"
 )
@@ -60,6 +61,14 @@
 	return time.Duration(d) * time.Millisecond
 }
 
+// Seconds is a length of time in seconds, as some settings give it.
+type Seconds float64
+
+// Duration returns s in whole milliseconds.
+func (s Seconds) Duration() Duration {
+	return Duration(math.Round(float64(s) * float64(Second)))
+}
+
 // String returns d with its unit, as in "250ms".
 func (d Duration) String() string {
 	return strconv.FormatInt(int64(d), 10) + "ms"
--- a/core/request/dfuattempt/action.go
+++ b/core/request/dfuattempt/action.go
@@ -24,6 +24,7 @@
 	SendSealed     SendReason = "sealed_before"
 	SendLinkLost   SendReason = "link_lost_before"
 	SendTargetDied SendReason = "target_died_before"
+	SendFailed     SendReason = "target_failed_before"
 	SendHedge      SendReason = "hedge"
 )
 
--- a/core/request/dfuattempt/attempts.go
+++ b/core/request/dfuattempt/attempts.go
@@ -87,6 +87,9 @@
 	// looking says that the last gate had no room, so that looking elsewhere is
 	// free.
 	looking bool
+	// fallback is the attempt that a target answered with an error, whose answer
+	// is given if there is no better one.
+	fallback dfuident.RequestID
 	// unproven tells that an attempt ended without proof that it did not run.
 	unproven bool
 	// reason is why the last attempt brought no answer.
--- a/core/request/dfuattempt/finish.go
+++ b/core/request/dfuattempt/finish.go
@@ -16,6 +16,9 @@
 
 // finish ends a request and cancels what is left of it.
 func (m *Machine) finish(now dfuclock.Time, r *request, id dfuident.RequestID, outcome dfuoutcome.Outcome, reason dfuoutcome.Reason) {
+	if outcome != dfuoutcome.Answered && r.fallback.Sequence > 0 {
+		id, outcome, reason = r.fallback, dfuoutcome.Answered, dfuoutcome.ReasonNone
+	}
 	m.emit(Finish{Request: r.number, ID: id, Outcome: outcome, Reason: reason, Attempts: r.sent})
 	for _, a := range r.live {
 		m.attempts.remove(a)
--- a/core/request/dfuattempt/machine.go
+++ b/core/request/dfuattempt/machine.go
@@ -18,10 +18,11 @@
 
 // Budget bounds extra attempts to a share of the requests.
 type Budget interface {
-	// Earn notes a first attempt.
-	Earn(service dfuident.Service, caller dfuident.Caller)
+	// Earn notes a first attempt; nested says that a running request waits for
+	// it.
+	Earn(now dfuclock.Time, service dfuident.Service, caller dfuident.Caller, nested bool)
 	// Take charges an extra attempt and reports whether it may be sent.
-	Take(service dfuident.Service, caller dfuident.Caller) bool
+	Take(now dfuclock.Time, service dfuident.Service, caller dfuident.Caller) bool
 }
 
 // Config holds the bounds and waits of a Machine.
@@ -35,6 +36,13 @@
 	// SealWaitMax.
 	SealWait    dfuclock.Duration
 	SealWaitMax dfuclock.Duration
+	// UnsentFree says that the budget is for what reaches targets alone, so that
+	// an attempt after one that never left this node is not charged.
+	UnsentFree bool
+	// RetryErrors lets an idempotent request that a target answered with an
+	// error be tried at another one. The first error is the answer if no other
+	// attempt brings a better one.
+	RetryErrors bool
 }
 
 // DefaultConfig returns the bounds used by a node.
--- a/core/request/dfuattempt/reply.go
+++ b/core/request/dfuattempt/reply.go
@@ -17,6 +17,10 @@
 			kind = dfuchoice.FeedbackTargetError
 		}
 		m.report(now, a, dfuchoice.Feedback{Kind: kind, Load: e.Load, Answer: e.Answer})
+		if e.TargetError && m.cfg.RetryErrors && a.request.idempotent {
+			m.failed(now, a)
+			return
+		}
 		m.finish(now, a.request, a.id, dfuoutcome.Answered, dfuoutcome.ReasonNone)
 	case dfuoutcome.NotRun:
 		m.report(now, a, dfuchoice.Feedback{Kind: dfuchoice.FeedbackRefused, Load: e.Load})
@@ -97,6 +101,22 @@
 	m.conclude(now, r, r.reason)
 }
 
+// failed drops an attempt that a target answered with an error and tries
+// elsewhere.
+func (m *Machine) failed(now dfuclock.Time, a *attempt) {
+	r := a.request
+	m.drop(a)
+	r.unproven = true
+	r.reached++
+	if r.fallback.Sequence == 0 {
+		r.fallback = a.id
+	}
+	if r.mayRepeat() && m.send(now, r, SendFailed) {
+		return
+	}
+	m.conclude(now, r, r.reason)
+}
+
 // ended drops an attempt that may have run without an answer.
 func (m *Machine) ended(now dfuclock.Time, a *attempt, reason dfuoutcome.Reason) {
 	r := a.request
--- a/core/request/dfuattempt/send.go
+++ b/core/request/dfuattempt/send.go
@@ -12,6 +12,21 @@
 // gate that has no room refuses before its target has any work.
 const refusedMax = 8
 
+// isFree reports whether an attempt costs no target anything beyond the first
+// one: no attempt before it has reached a target.
+func (m *Machine) isFree(r *request, reason SendReason) bool {
+	switch reason {
+	case SendFirst:
+		return true
+	case SendRefused:
+		return r.looking && r.sent < refusedMax
+	case SendNotSent:
+		return m.cfg.UnsentFree && r.sent < refusedMax
+	default:
+		return false
+	}
+}
+
 // send makes an attempt and reports whether it did; otherwise r.reason tells
 // why not.
 func (m *Machine) send(now dfuclock.Time, r *request, reason SendReason) bool {
@@ -70,10 +85,10 @@
 		}
 		choice.Wait = false
 	}
-	if reason == SendFirst || (reason == SendRefused && r.looking && r.sent < refusedMax) {
+	if m.isFree(r, reason) {
 		return choice, true
 	}
-	return choice, m.charge(r)
+	return choice, m.charge(now, r)
 }
 
 func (m *Machine) query(now dfuclock.Time, r *request) dfuchoice.Query {
@@ -109,9 +124,9 @@
 }
 
 // charge takes an extra attempt off the allowance and the budget.
-func (m *Machine) charge(r *request) bool {
+func (m *Machine) charge(now dfuclock.Time, r *request) bool {
 	allowance, ok := r.allowance.Extra(false)
-	if !ok || !m.budget.Take(r.service, r.caller) {
+	if !ok || !m.budget.Take(now, r.service, r.caller) {
 		r.keepReason(dfuoutcome.ReasonRetryBudget)
 		return false
 	}
--- a/core/request/network_test.go
+++ b/core/request/network_test.go
@@ -118,11 +118,13 @@
 	return dfuchoice.Choice{Member: n.anyNode(n.t).self}, true
 }
 
-func (n *network) HedgeAfter(dfuchoice.Query) (dfuclock.Duration, bool)     { return 10, true }
-func (n *network) Sent(dfuclock.Time, dfuident.Member)                      { n.open++ }
-func (n *network) Done(dfuclock.Time, dfuchoice.Feedback)                   { n.open-- }
-func (n *network) Earn(dfuident.Service, dfuident.Caller)                   {}
-func (n *network) Take(dfuident.Service, dfuident.Caller) (affordable bool) { return true }
+func (n *network) HedgeAfter(dfuchoice.Query) (dfuclock.Duration, bool)        { return 10, true }
+func (n *network) Sent(dfuclock.Time, dfuident.Member)                         { n.open++ }
+func (n *network) Done(dfuclock.Time, dfuchoice.Feedback)                      { n.open-- }
+func (n *network) Earn(dfuclock.Time, dfuident.Service, dfuident.Caller, bool) {}
+func (n *network) Take(dfuclock.Time, dfuident.Service, dfuident.Caller) (affordable bool) {
+	return true
+}
 
 func (n *network) post(m message) {
 	n.bag = append(n.bag, m)
--- a/core/request/session_test.go
+++ b/core/request/session_test.go
@@ -220,9 +220,9 @@
 	s.lines = append(s.lines, format(f))
 }
 
-func (s *attemptSession) Earn(dfuident.Service, dfuident.Caller) {}
+func (s *attemptSession) Earn(dfuclock.Time, dfuident.Service, dfuident.Caller, bool) {}
 
-func (s *attemptSession) Take(dfuident.Service, dfuident.Caller) bool {
+func (s *attemptSession) Take(dfuclock.Time, dfuident.Service, dfuident.Caller) bool {
 	s.tokens--
 	return s.tokens >= 0
 }
--- a/core/version/dfuroster/view.go
+++ b/core/version/dfuroster/view.go
@@ -131,6 +131,11 @@
 	return v.services[s]
 }
 
+// Len returns the number of nodes in any state.
+func (v *View) Len() int {
+	return len(v.nodes)
+}
+
 // Nodes returns every node sorted by node id.
 func (v *View) Nodes() []Node {
 	nodes := make([]Node, 0, len(v.nodes))
--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -366,6 +366,7 @@
 		HealthPath: n.healthPath,
 	})
 	chooser := dfuchoice.New(n.chooserSettings(), newRand())
+	budget, resize := n.newBudget()
 	random := newRand()
 	entry := dfudispatch.New(dfudispatch.Deps{
 		Self:    self,
@@ -377,7 +378,8 @@
 		Gates:   gates{pool: n.pool, local: &receiver{duty: gate, view: n.control.View}},
 		Owners:  owners,
 		Chooser: chooser,
-		Machine: dfuattempt.New(dfuattempt.DefaultConfig(), self, n.place(), chooser, dfubudget.NewRetryBudget()),
+		Machine: dfuattempt.New(n.attemptConfig(), self, n.place(), chooser, budget),
+		Resize:  resize,
 		Rand:    n.draw(random),
 		Local:   n.localService,
 		Runs:    gate.Runs,
@@ -429,6 +431,27 @@
 	return dfuchoice.DefaultSettings()
 }
 
+// attemptConfig returns the bounds of the entry side.
+func (n *Node) attemptConfig() dfuattempt.Config {
+	cfg := dfuattempt.DefaultConfig()
+	cfg.UnsentFree = n.settings.Retry.Window > 0
+	cfg.RetryErrors = n.adapters.Routed
+	return cfg
+}
+
+// newBudget returns the budget of extra attempts and what is to be told how many
+// nodes share it.
+func (n *Node) newBudget() (dfuattempt.Budget, func(nodes int)) {
+	r := n.settings.Retry
+	if r.Window == 0 {
+		return dfubudget.NewRetryBudget(), nil
+	}
+	b := dfubudget.NewFleetBudget(n.clock.Now(), dfubudget.FleetLimits{
+		Ratio: r.Ratio, Reserve: r.Reserve, Window: r.Window.Duration(),
+	})
+	return b, b.SetNodes
+}
+
 // healthPath returns the path at which the target beside the node tells its
 // load.
 func (n *Node) healthPath() string {
--- a/io/process/dfusettings/settings.go
+++ b/io/process/dfusettings/settings.go
@@ -41,6 +41,7 @@
 	Protocol Protocol `json:"protocol"`
 	Target   Target   `json:"target"`
 	Retry    Retry    `json:"retry"`
+	Stop     Stop     `json:"stop"`
 	// DrainTimeout bounds how long a planned stop waits for requests in
 	// progress, in ms.
 	DrainTimeout dfuclock.Duration `json:"drain_timeout_ms"`
@@ -66,9 +67,17 @@
 // Retry bounds the extra attempts of the whole fleet for one service in any
 // window: so many percent of its requests and a reserve besides.
 type Retry struct {
-	Ratio   float64           `json:"ratio"`
-	Reserve float64           `json:"reserve"`
-	Window  dfuclock.Duration `json:"window_ms"`
+	Ratio   float64 `json:"ratio"`
+	Reserve float64 `json:"reserve"`
+	// Window is zero if each node has a budget of its own.
+	Window dfuclock.Seconds `json:"window_s"`
+}
+
+// Stop bounds a planned stop of the process.
+type Stop struct {
+	// Grace is how long after the order to stop the process may still run; zero
+	// if it may take its time.
+	Grace dfuclock.Seconds `json:"grace_s"`
 }
 
 // Listen holds the addresses that the node listens on and is reached at.
@@ -180,6 +189,9 @@
 	if s.Retry.Ratio < 0 || s.Retry.Reserve < 0 || s.Retry.Window < 0 {
 		c.add("retry", "must not hold a negative number")
 	}
+	if s.Stop.Grace < 0 {
+		c.add("stop.grace_s", "is %v, must not be negative", s.Stop.Grace)
+	}
 	if s.Limits.MemoryMB < 0 {
 		c.add("limits.memory_mb", "is %d, must not be negative", s.Limits.MemoryMB)
 	}
--- a/io/request/dfudispatch/admit.go
+++ b/io/request/dfudispatch/admit.go
@@ -106,7 +106,7 @@
 		Hedge:      entry.Retry.Hedge && !entry.NonIdempotent,
 	}
 	if r := call.Route; r != nil {
-		event.Class = dfugate.Class(min(max(r.Priority, 1), dfugate.ClassCount-1))
+		event.Class = dfugate.Class(min(max(r.Priority, 0), dfugate.ClassCount-1))
 		event.Objective = objective(call)
 		event.Idempotent = event.Idempotent && dfuroute.Repeats(r.Kind)
 		event.Targets = r.Attempts
--- a/io/request/dfudispatch/attempt.go
+++ b/io/request/dfudispatch/attempt.go
@@ -28,10 +28,11 @@
 
 // attempt is one offer under way.
 type attempt struct {
-	to     dfuroster.Node
-	cancel context.CancelFunc
-	span   trace.Span
-	answer *dfumessage.Answer
+	to      dfuroster.Node
+	request *request
+	cancel  context.CancelFunc
+	span    trace.Span
+	answer  *dfumessage.Answer
 	// lost says that the link failed, so that only a seal can bring the answer.
 	lost bool
 }
@@ -47,6 +48,7 @@
 		a.lost = a.lost || !settled
 		if in.answer != nil {
 			a.answer = in.answer
+			a.request.keep(in.id, a)
 		}
 	}
 	d.step(in.event)
@@ -89,7 +91,7 @@
 	)
 	ctx, cancel := context.WithCancel(context.Background())
 	r.sent = append(r.sent, a.ID)
-	d.attempts[a.ID] = &attempt{to: node, cancel: cancel, span: span}
+	d.attempts[a.ID] = &attempt{to: node, request: r, cancel: cancel, span: span}
 	out := &outgoing{ctx: ctx, to: node, offer: d.newOffer(a, r, traceparent)}
 	if r == d.current && r.own == nil {
 		r.own = out
--- a/io/request/dfudispatch/duty.go
+++ b/io/request/dfudispatch/duty.go
@@ -55,6 +55,8 @@
 	Owners  Owners
 	Chooser Chooser
 	Machine *dfuattempt.Machine
+	// Resize is told how many nodes there are; it may be nil.
+	Resize func(nodes int)
 	// Rand draws the part of a split route, from 0 up to but without 1.
 	Rand func() float64
 	// Runs reports whether the target beside this node is running a request with
@@ -113,6 +115,9 @@
 	defer d.mu.Unlock()
 	d.view.Store(view)
 	d.setTargets(view)
+	if d.deps.Resize != nil {
+		d.deps.Resize(view.Len())
+	}
 }
 
 // Ejections returns the targets that this node avoids because they fail.
--- a/io/request/dfudispatch/serve.go
+++ b/io/request/dfudispatch/serve.go
@@ -8,6 +8,7 @@
 	"dragonflyusher/core/request/dfuattempt"
 	"dragonflyusher/core/request/dfuoutcome"
 	"dragonflyusher/io/connection/dfufront"
+	"dragonflyusher/io/request/dfumessage"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
@@ -23,10 +24,27 @@
 	bulk  bool
 	// noClaim says that the request runs at most once for its id alone.
 	noClaim bool
+	// kept is the first error that a target answered, or nil.
+	kept *keptAnswer
 	// own is the attempt that the call's goroutine is to send itself.
 	own *outgoing
 }
 
+// keptAnswer is a target's answer that may still be given after its attempt has
+// ended.
+type keptAnswer struct {
+	id     dfuident.RequestID
+	target dfuident.NodeID
+	answer dfumessage.Answer
+}
+
+// keep remembers the first error that a target answered.
+func (r *request) keep(id dfuident.RequestID, a *attempt) {
+	if r.kept == nil && a.answer.BlamesTarget() {
+		r.kept = &keptAnswer{id: id, target: a.to.Member.Node, answer: *a.answer}
+	}
+}
+
 // Serve implements dfufront.Entry.
 func (d *Duty) Serve(call dfufront.Call, watch func(gone func()) (stop func())) dfufront.Result {
 	span, traceparent := d.deps.Tracer.Start(call.Traceparent, "entry")
@@ -151,6 +169,9 @@
 		if at.answer != nil {
 			result.Answer = *at.answer
 		}
+	} else if r.kept != nil && r.kept.id == a.ID {
+		result.Target = r.kept.target
+		result.Answer = r.kept.answer
 	}
 	d.release(r)
 	result.RetryAfter = d.retryAfter(r, a)
--- a/measure/policy/entry.go
+++ b/measure/policy/entry.go
@@ -38,7 +38,7 @@
 // accept takes a call, sends its first attempt and plans its end.
 func (e *entry) accept(c *call) {
 	now := e.sim.clock.now
-	e.retries.Earn(e.sim.deployment.Service, "")
+	e.retries.Earn(0, e.sim.deployment.Service, "", false)
 	e.sim.clock.after(c.leaves-now, func() { e.abandon(c) })
 	e.try(c, false)
 	if !e.sim.contender.Hedge {
@@ -63,7 +63,7 @@
 	if !ok || choice.Far {
 		return
 	}
-	if e.retries.Take(e.sim.deployment.Service, "") {
+	if e.retries.Take(0, e.sim.deployment.Service, "") {
 		e.send(c, choice, true)
 	}
 }
@@ -146,7 +146,7 @@
 		c.excluded = append(c.excluded, a.worker.member.Node)
 		switch {
 		case len(c.live) > 0:
-		case c.idempotent && e.retries.Take(e.sim.deployment.Service, ""):
+		case c.idempotent && e.retries.Take(0, e.sim.deployment.Service, ""):
 			e.try(c, false)
 		default:
 			e.fail(c)
