io/process/dfunode: stop within the grace time, follow changed settings

Cause: a stopping node waited up to 30 s for its target to drain and was killed after 6 s with requests in progress; SIGHUP ended the process. Its target took no request from the order to stop on, though it goes on working beside the node. Ruled out: readiness (it fails at once, callers are moved within 2 s). Change: within a grace time the node serves callers and its target for 60 % of it, then drains and leaves, and waits for requests in progress until 92 %. Settings are read again on SIGHUP and every 5 s; what needs a new start is named in the log. TestFleet passes.

--- a/cmd/dragonflyusherd/main.go
+++ b/cmd/dragonflyusherd/main.go
@@ -64,11 +64,11 @@
 	if opts.Check {
 		return 0
 	}
-	return serve(settings)
+	return serve(opts.Settings, settings)
 }
 
 // serve runs the node until SIGTERM or SIGINT, which drain it first.
-func serve(settings dfusettings.Settings) int {
+func serve(path string, settings dfusettings.Settings) int {
 	if settings.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(settings.Limits.MemoryMB) << 20 * memoryShare / 100)
 	}
@@ -88,6 +88,9 @@
 		log.Error("start failed", zap.Error(err))
 		return exitFailed
 	}
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	go node.FollowSettings(ctx, path, hangup)
 	if err := node.Run(ctx); err != nil {
 		log.Error("stopped with an error", zap.Error(err))
 		return exitFailed
--- a/io/connection/dfufront/failure_test.go
+++ b/io/connection/dfufront/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -75,7 +76,7 @@
 		for _, c := range conns {
 			c.Close()
 		}
-		is.NoErr(f.Close())
+		is.NoErr(f.Close(context.Background()))
 		wg.Wait()
 	})
 	var mu sync.Mutex
--- a/io/connection/dfufront/front.go
+++ b/io/connection/dfufront/front.go
@@ -1,6 +1,7 @@
 package dfufront
 
 import (
+	"context"
 	"net"
 	"sync/atomic"
 
@@ -112,9 +113,9 @@
 	return errors.Wrap(f.server.Serve(listener{l}), "serve callers")
 }
 
-// Close stops accepting and waits for the requests in progress.
-func (f *Front) Close() error {
-	return errors.Wrap(f.server.Shutdown(), "stop serving callers")
+// Close stops accepting and waits for the requests in progress until ctx ends.
+func (f *Front) Close(ctx context.Context) error {
+	return errors.Wrap(f.server.ShutdownWithContext(ctx), "stop serving callers")
 }
 
 // CloseConnections ends each caller's connection with its next answer.
--- a/io/process/dfunode/instance.go
+++ b/io/process/dfunode/instance.go
@@ -109,11 +109,12 @@
 // expected reports how an announcement differs from the target that the
 // settings name.
 func (t *localTarget) expected(a dfuinstance.Announcement) error {
-	if t.expect.Address != "" && t.expect.Address != a.Address {
-		return errors.Newf("address is %q, the target beside this node has %q", a.Address, t.expect.Address)
+	want := t.expect()
+	if want.Address != "" && want.Address != a.Address {
+		return errors.Newf("address is %q, the target beside this node has %q", a.Address, want.Address)
 	}
-	if t.expect.Service != "" && t.expect.Service != a.Service {
-		return errors.Newf("service is %q, the target beside this node serves %q", a.Service, t.expect.Service)
+	if want.Service != "" && want.Service != a.Service {
+		return errors.Newf("service is %q, the target beside this node serves %q", a.Service, want.Service)
 	}
 	return nil
 }
--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -42,13 +42,6 @@
 const (
 	// joinPoll is how often a starting node looks whether it has joined.
 	joinPoll = 10 * time.Millisecond
-	// drainPoll is how often a stopping node looks whether its target is
-	// drained.
-	drainPoll = 20 * time.Millisecond
-	// handOverWait bounds the handing over of claims by a stopping node.
-	handOverWait = 2 * time.Second
-	// leaveWait is how long a stopping node stays to tell others that it left.
-	leaveWait = 1500 * time.Millisecond
 	// routesWatchWait is how long a watch of the routes waits for a change. The
 	// platform counts each call and lets one wait for 30 s.
 	routesWatchWait = 25 * dfuclock.Second
@@ -66,7 +59,10 @@
 
 // Node is one node of the system.
 type Node struct {
+	// settings are those of the start, and live the newest of those that may
+	// change while the node runs.
 	settings dfusettings.Settings
+	live     atomic.Pointer[dfusettings.Settings]
 	log      *zap.Logger
 	level    zap.AtomicLevel
 	clock    dfuclock.Clock
@@ -122,6 +118,7 @@
 		metrics:    metrics.NewRegistry(),
 		superseded: make(chan struct{}),
 	}
+	n.live.Store(&settings)
 	if err := n.listen(ctx); err != nil {
 		return nil, err
 	}
@@ -194,8 +191,7 @@
 	}
 	n.stopping.Store(true)
 	n.front.CloseConnections()
-	n.leave(s)
-	err = errors.CombineErrors(err, n.front.Close())
+	err = errors.CombineErrors(err, n.leave(s))
 	if s != nil {
 		s.entry.Close()
 		s.gate.Close()
@@ -366,7 +362,7 @@
 		HealthPath: n.healthPath,
 	})
 	chooser := dfuchoice.New(n.chooserSettings(), newRand())
-	budget, resize := n.newBudget()
+	budget := n.newBudget()
 	random := newRand()
 	entry := dfudispatch.New(dfudispatch.Deps{
 		Self:    self,
@@ -378,8 +374,8 @@
 		Gates:   gates{pool: n.pool, local: &receiver{duty: gate, view: n.control.View}},
 		Owners:  owners,
 		Chooser: chooser,
+		Budget:  budget,
 		Machine: dfuattempt.New(n.attemptConfig(), self, n.place(), chooser, budget),
-		Resize:  resize,
 		Rand:    n.draw(random),
 		Local:   n.localService,
 		Runs:    gate.Runs,
@@ -390,7 +386,7 @@
 		log:     n.log,
 		gate:    gate,
 		publish: n.announce,
-		expect:  n.settings.Target,
+		expect:  func() dfusettings.Target { return n.live.Load().Target },
 		cfg: dfutarget.Config{
 			AnswerLimit: n.settings.Limits.Answer,
 			IdleLimit:   idleTargetConns,
@@ -414,8 +410,8 @@
 
 // localService returns the service of the target beside the node.
 func (n *Node) localService() dfuident.Service {
-	if n.settings.Target.Service != "" {
-		return n.settings.Target.Service
+	if service := n.live.Load().Target.Service; service != "" {
+		return service
 	}
 	if s := n.started.Load(); s != nil {
 		return s.target.service()
@@ -439,17 +435,17 @@
 	return cfg
 }
 
-// newBudget returns the budget of extra attempts and what is to be told how many
-// nodes share it.
-func (n *Node) newBudget() (dfuattempt.Budget, func(nodes int)) {
+// newBudget returns the budget of extra attempts.
+func (n *Node) newBudget() dfuattempt.Budget {
 	r := n.settings.Retry
 	if r.Window == 0 {
-		return dfubudget.NewRetryBudget(), nil
+		return dfubudget.NewRetryBudget()
 	}
-	b := dfubudget.NewFleetBudget(n.clock.Now(), dfubudget.FleetLimits{
-		Ratio: r.Ratio, Reserve: r.Reserve, Window: r.Window.Duration(),
-	})
-	return b, b.SetNodes
+	return dfubudget.NewFleetBudget(n.clock.Now(), fleetLimits(r))
+}
+
+func fleetLimits(r dfusettings.Retry) dfubudget.FleetLimits {
+	return dfubudget.FleetLimits{Ratio: r.Ratio, Reserve: r.Reserve, Window: r.Window.Duration()}
 }
 
 // healthPath returns the path at which the target beside the node tells its
@@ -518,36 +514,6 @@
 	s.target.setView(view)
 }
 
-// leave drains the target and tells the others that the node has left.
-func (n *Node) leave(s *started) {
-	if s == nil {
-		return
-	}
-	n.log.Info("stopping", zap.Stringer("member", s.self))
-	s.target.stop()
-	deadline := time.Now().Add(n.settings.DrainTimeout.Std())
-	for time.Now().Before(deadline) && !s.gate.Status().Drained {
-		time.Sleep(drainPoll)
-	}
-	n.leaveClaims(s)
-	n.control.Announce(dfucontrol.Announcement{Left: true})
-	time.Sleep(leaveWait)
-	n.log.Info("left", zap.Stringer("member", s.self))
-}
-
-// leaveClaims hands the claims of a stopping node over.
-func (n *Node) leaveClaims(s *started) {
-	if s.claims == nil {
-		return
-	}
-	s.claims.Leave()
-	select {
-	case <-s.claims.Left():
-	case <-time.After(handOverWait):
-		n.log.Warn("claims were not handed over in time")
-	}
-}
-
 // controlCaller sends control traffic over its own lane.
 type controlCaller struct {
 	pool *dfupeer.Pool
--- a/io/process/dfunode/target.go
+++ b/io/process/dfunode/target.go
@@ -71,7 +71,7 @@
 	log     *zap.Logger
 	gate    *dfuadmission.Duty
 	cfg     dfutarget.Config
-	expect  dfusettings.Target
+	expect  func() dfusettings.Target
 	publish func(announced)
 
 	mu     sync.Mutex
--- a/io/request/dfudispatch/duty.go
+++ b/io/request/dfudispatch/duty.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dragonflyusher/core/connection/dfuchoice"
+	"dragonflyusher/core/process/dfubudget"
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/request/dfuattempt"
@@ -55,8 +56,8 @@
 	Owners  Owners
 	Chooser Chooser
 	Machine *dfuattempt.Machine
-	// Resize is told how many nodes there are; it may be nil.
-	Resize func(nodes int)
+	// Budget is the machine's budget of extra attempts.
+	Budget dfuattempt.Budget
 	// Rand draws the part of a split route, from 0 up to but without 1.
 	Rand func() float64
 	// Runs reports whether the target beside this node is running a request with
@@ -115,8 +116,17 @@
 	defer d.mu.Unlock()
 	d.view.Store(view)
 	d.setTargets(view)
-	if d.deps.Resize != nil {
-		d.deps.Resize(view.Len())
+	if b, ok := d.deps.Budget.(*dfubudget.FleetBudget); ok {
+		b.SetNodes(view.Len())
+	}
+}
+
+// SetLimits changes the limits of extra attempts, if the fleet shares them.
+func (d *Duty) SetLimits(limits dfubudget.FleetLimits) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if b, ok := d.deps.Budget.(*dfubudget.FleetBudget); ok {
+		b.SetLimits(limits)
 	}
 }
 
