--- a/core/version/dfuinstance/ledger.go
+++ b/core/version/dfuinstance/ledger.go
@@ -50,9 +50,10 @@
 const goneMax = 64
 
 // Ledger keeps the present run of the target beside a node. The zero value has
-// none and is ready to use.
+// none and is ready to use. Sequences begin at 1.
 type Ledger struct {
 	present bool
+	// current is the newest word, also of a run that is no longer present.
 	current Announcement
 	// gone holds the latest birth of each instance that is gone.
 	gone  map[dfuident.Instance]UnixMs
@@ -69,22 +70,18 @@
 	if born, ok := l.gone[a.Instance]; ok && a.Born <= born {
 		return Late
 	}
-	if !l.present {
-		l.current, l.present = a, true
-		return Fresh
-	}
 	same := a.Instance == l.current.Instance && a.Born == l.current.Born
-	switch {
-	case same && a.Sequence <= l.current.Sequence, a.Born < l.current.Born:
+	if same && a.Sequence <= l.current.Sequence || a.Born < l.current.Born {
 		return Late
-	case same:
-		l.current = a
-		return Update
 	}
-	if a.Instance != l.current.Instance {
+	update := same && l.present
+	if l.present && a.Instance != l.current.Instance {
 		l.bury(l.current.Instance, l.current.Born)
 	}
-	l.current = a
+	l.current, l.present = a, true
+	if update {
+		return Update
+	}
 	return Fresh
 }
 
--- /dev/null
+++ b/core/version/dfuinstance/ledger_test.go
@@ -0,0 +1,110 @@
+package dfuinstance_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/version/dfuinstance"
+
+	"github.com/matryer/is"
+	"github.com/rogpeppe/go-internal/txtar"
+	"pgregory.net/rapid"
+)
+
+var update = flag.Bool("update", false, "rewrite the transcripts")
+
+// TestSessions plays lines such as "take i-1 born 100 seq 3 draining" and "leave
+// i-1 now 200".
+func TestSessions(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	is.New(t).NoErr(err)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			is := is.New(t)
+			archive, err := txtar.ParseFile(file)
+			is.NoErr(err)
+			got := play(string(archive.Files[0].Data))
+			if *update {
+				archive.Files = append(archive.Files[:1], txtar.File{Name: "transcript", Data: []byte(got)})
+				is.NoErr(os.WriteFile(file, txtar.Format(archive), 0o644))
+			}
+			is.Equal(string(archive.Files[1].Data), got)
+		})
+	}
+}
+
+func play(script string) string {
+	var l dfuinstance.Ledger
+	var out strings.Builder
+	for line := range strings.Lines(script) {
+		line = strings.TrimSpace(line)
+		words := strings.Fields(line)
+		if len(words) == 0 {
+			continue
+		}
+		switch words[0] {
+		case "take":
+			a := dfuinstance.Announcement{Instance: dfuident.Instance(words[1]), Draining: strings.HasSuffix(line, "draining")}
+			_, _ = fmt.Sscanf(strings.Join(words[2:6], " "), "born %d seq %d", &a.Born, &a.Sequence)
+			fmt.Fprintf(&out, "%s: %s", line, l.Take(a))
+		case "leave":
+			var now dfuinstance.UnixMs
+			_, _ = fmt.Sscanf(strings.Join(words[2:], " "), "now %d", &now)
+			fmt.Fprintf(&out, "%s: present %v", line, l.Leave(dfuident.Instance(words[1]), now))
+		case "lose":
+			l.Lose()
+			fmt.Fprint(&out, line)
+		}
+		if current, ok := l.Current(); ok {
+			fmt.Fprintf(&out, " -> %s born %d seq %d draining %v\n", current.Instance, current.Born, current.Sequence, current.Draining)
+		} else {
+			fmt.Fprintln(&out, " -> none")
+		}
+	}
+	return out.String()
+}
+
+// In whatever order announcements arrive and however often they are repeated,
+// the newest word of the newest run is the one that counts in the end, and an
+// instance that left never comes back under an old birth.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l dfuinstance.Ledger
+		gone := map[dfuident.Instance]dfuinstance.UnixMs{}
+		newest := dfuinstance.Announcement{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			instance := dfuident.Instance(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "instance"))
+			if rapid.IntRange(0, 9).Draw(t, "what") == 0 {
+				if current, ok := l.Current(); ok && current.Instance == instance {
+					gone[instance] = current.Born
+				}
+				l.Leave(instance, 0)
+				continue
+			}
+			a := dfuinstance.Announcement{
+				Instance: instance,
+				Born:     dfuinstance.UnixMs(rapid.IntRange(1, 5).Draw(t, "born")),
+				Sequence: uint64(rapid.IntRange(1, 9).Draw(t, "sequence")),
+			}
+			before, present := l.Current()
+			verdict := l.Take(a)
+			if born, ok := gone[instance]; ok && a.Born <= born && verdict != dfuinstance.Late {
+				t.Fatalf("%v was taken after it had left", a)
+			}
+			if present && verdict != dfuinstance.Late && a.Born < before.Born {
+				t.Fatalf("%v replaced the later run %v", a, before)
+			}
+			if verdict != dfuinstance.Late {
+				newest = a
+			}
+			if current, ok := l.Current(); ok && current != newest {
+				t.Fatalf("%v counts, the last word taken was %v", current, newest)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/core/version/dfuroute/route_test.go
@@ -0,0 +1,112 @@
+package dfuroute
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"dragonflyusher/core/process/dfuident"
+
+	"github.com/matryer/is"
+	"github.com/rogpeppe/go-internal/txtar"
+)
+
+var update = flag.Bool("update", false, "rewrite the transcripts")
+
+// TestSessions parses the table of each archive and plays its requests, lines of
+// a host, a path and a draw.
+func TestSessions(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	is.New(t).NoErr(err)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			is := is.New(t)
+			archive, err := txtar.ParseFile(file)
+			is.NoErr(err)
+			got := play(archive.Files[0].Data, string(archive.Files[1].Data))
+			if *update {
+				archive.Files = append(archive.Files[:2], txtar.File{Name: "transcript", Data: []byte(got)})
+				is.NoErr(os.WriteFile(file, txtar.Format(archive), 0o644))
+			}
+			is.Equal(string(archive.Files[2].Data), got)
+		})
+	}
+}
+
+func play(table []byte, requests string) string {
+	parsed, err := Parse(table)
+	if err != nil {
+		return "refused:\n" + err.Error() + "\n"
+	}
+	var out strings.Builder
+	for line := range strings.Lines(requests) {
+		var host, path string
+		var draw float64
+		if _, err := fmt.Sscan(line, &host, &path, &draw); err != nil {
+			continue
+		}
+		fmt.Fprintf(&out, "%s %s %g: ", host, path, draw)
+		if r, ok := parsed.Match(host, path); ok {
+			fmt.Fprintf(&out, "%s %s to %s\n", r.Name, r.Kind, r.Pick(draw))
+		} else {
+			fmt.Fprintln(&out, "no route")
+		}
+	}
+	return out.String()
+}
+
+// A table that is encoded and parsed again is the same.
+func TestEncode(t *testing.T) {
+	is := is.New(t)
+	archive, err := txtar.ParseFile("testdata/match.txtar")
+	is.NoErr(err)
+	table, err := Parse(archive.Files[0].Data)
+	is.NoErr(err)
+	data, err := table.Encode()
+	is.NoErr(err)
+	again, err := Parse(data)
+	is.NoErr(err)
+	is.Equal(table, again)
+}
+
+// The parts of a split get the requests in proportion to their weights.
+func TestPickByWeight(t *testing.T) {
+	is := is.New(t)
+	r := Route{Split: []Part{{"a", 90}, {"b", 0}, {"c", 10}}, weights: 100}
+	counts := map[dfuident.Service]int{}
+	for i := range 1000 {
+		counts[r.Pick(float64(i)/1000)]++
+	}
+	is.Equal(counts, map[dfuident.Service]int{"a": 900, "c": 100})
+}
+
+// FuzzParse looks for tables that are taken though a request makes them panic.
+func FuzzParse(f *testing.F) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, file := range files {
+		archive, err := txtar.ParseFile(file)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(archive.Files[0].Data, "shop.example", "/a/b")
+	}
+	f.Fuzz(func(t *testing.T, data []byte, host, path string) {
+		table, err := Parse(data)
+		if err != nil {
+			return
+		}
+		if r, ok := table.Match(host, path); ok {
+			for _, draw := range []float64{0, 0.5, 0.999999} {
+				if r.Pick(draw) == "" {
+					t.Fatal("a route without a service was taken")
+				}
+			}
+		}
+	})
+}
--- a/io/process/dfunode/target.go
+++ b/io/process/dfunode/target.go
@@ -1,6 +1,7 @@
 package dfunode
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/netip"
 	"slices"
@@ -27,8 +28,13 @@
 
 const (
 	// announcementLifetime is how long an announcement keeps a target in the
-	// roster.
+	// roster, if the settings don't tell how often there are some.
 	announcementLifetime = 3 * dfuclock.Second
+	// announcementPeriods is how many periods of announcements may pass without
+	// one. An announcement may be seconds late.
+	announcementPeriods = 4
+	// sweepPeriod is the time between two looks for a missing target.
+	sweepPeriod = 500 * time.Millisecond
 	// coldFor is how long a target that announces itself as cold is loaded
 	// slowly.
 	coldFor = 10 * dfuclock.Second
@@ -157,7 +163,7 @@
 func (t *localTarget) sweep() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.present || t.clock.Now().Sub(t.heard) < announcementLifetime {
+	if !t.present || t.clock.Now().Sub(t.heard) < t.lifetime() {
 		return
 	}
 	t.log.Warn("target withdrawn", zap.String("service", string(t.current.Service)), zap.String("reason", "no announcement"))
@@ -167,6 +173,11 @@
 	t.settle()
 }
 
+// lifetime returns how long an announcement keeps the target in the roster.
+func (t *localTarget) lifetime() dfuclock.Duration {
+	return cmp.Or(announcementPeriods*t.expect().Heartbeat, announcementLifetime)
+}
+
 // setView takes over limits and the operators' drain list.
 func (t *localTarget) setView(view *dfuroster.View) {
 	t.mu.Lock()
@@ -243,7 +254,7 @@
 
 // run looks for a missing target until done ends.
 func (t *localTarget) run(done <-chan struct{}) {
-	ticker := time.NewTicker(announcementLifetime.Std() / 6)
+	ticker := time.NewTicker(sweepPeriod)
 	defer ticker.Stop()
 	for {
 		select {
--- a/io/process/dfusettings/settings.go
+++ b/io/process/dfusettings/settings.go
@@ -62,6 +62,8 @@
 type Target struct {
 	Service dfuident.Service `json:"service"`
 	Address dfuident.Address `json:"address"`
+	// Heartbeat is how often the target announces itself, in ms.
+	Heartbeat dfuclock.Duration `json:"heartbeat_ms"`
 }
 
 // Retry bounds the extra attempts of the whole fleet for one service in any
@@ -183,6 +185,9 @@
 	}
 	c.address("store.address", s.Store.Address)
 	c.optionalAddress("target.address", s.Target.Address)
+	if s.Target.Heartbeat < 0 {
+		c.add("target.heartbeat_ms", "is %d, must not be negative", s.Target.Heartbeat)
+	}
 	if s.Protocol != ProtocolNative && s.Protocol != ProtocolPlatform {
 		c.add("protocol", "is %q, must be %q or %q", s.Protocol, ProtocolNative, ProtocolPlatform)
 	}
--- a/io/request/dfudispatch/serve.go
+++ b/io/request/dfudispatch/serve.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/request/dfuattempt"
 	"dragonflyusher/core/request/dfuoutcome"
@@ -75,7 +76,8 @@
 	if refused := d.route(&call); refused != nil {
 		return *refused
 	}
-	deadline := d.deps.Clock.Now().Add(call.Remaining)
+	began := d.deps.Clock.Now()
+	deadline := began.Add(call.Remaining)
 	var repeat dfuattempt.Repeat
 	attempts := 0
 	for {
@@ -83,7 +85,7 @@
 		attempts += result.Attempts
 		result.Attempts = attempts
 		call.Remaining = deadline.Sub(d.deps.Clock.Now())
-		wait, again := repeat.After(result.Outcome, result.Reason, call.Remaining)
+		wait, again := repeat.After(result.Outcome, result.Reason, patience(call, d.deps.Clock.Now().Sub(began)))
 		if !again {
 			return result
 		}
@@ -96,6 +98,18 @@
 	}
 }
 
+// patienceShare is the part of a route's target latency for which a request waits
+// until a node can take it: a caller that is told earlier can come back in time.
+const patienceShare = 4
+
+// patience returns how much longer a call may wait until a node can take it.
+func patience(call dfufront.Call, waited dfuclock.Duration) dfuclock.Duration {
+	if call.Route == nil {
+		return call.Remaining
+	}
+	return min(call.Remaining, call.Route.TargetLatency/patienceShare-waited)
+}
+
 // try steps the machine with the call once and waits for the outcome.
 func (d *Duty) try(call dfufront.Call, c *caller) dfufront.Result {
 	r, refused := d.admit(call)
