core/version/dfuroster: take a node for dead once its address belongs to another VM

Ruled out: the store (it answered), overload (targets had free slots). Change: of two nodes at one peer address the later run counts, the other is dead at once; an offer that reached another run is taken for one that was not sent.

--- a/core/request/dfuattempt/reply.go
+++ b/core/request/dfuattempt/reply.go
@@ -23,6 +23,12 @@
 		}
 		m.finish(now, a.request, a.id, dfuoutcome.Answered, dfuoutcome.ReasonNone)
 	case dfuoutcome.NotRun:
+		if e.Reason == dfuoutcome.ReasonStaleRequest && a.request.owner.IsZero() {
+			// Another run, or another node at its address, got the offer.
+			m.report(now, a, dfuchoice.Feedback{Kind: dfuchoice.FeedbackLinkFailed})
+			m.proven(now, a, SendNotSent, e.Reason)
+			return
+		}
 		m.report(now, a, dfuchoice.Feedback{Kind: dfuchoice.FeedbackRefused, Load: e.Load})
 		if final(e.Reason) || !a.request.owner.IsZero() {
 			m.drop(a)
--- a/core/version/dfuroster/keeper.go
+++ b/core/version/dfuroster/keeper.go
@@ -38,7 +38,10 @@
 	exchange   *dfurecord.Exchange
 	view       *View
 	// updates is what membership last said of each node in the view.
-	updates     map[dfuident.NodeID]dfumembership.Update
+	updates map[dfuident.NodeID]dfumembership.Update
+	// holders is the newest run at each peer address. A VM's address may be
+	// given to another one before the node that had it is found dead.
+	holders     map[dfuident.Address]dfuident.Member
 	unreachable map[dfuident.Region]bool
 	change      Change
 	// peersStale says that the exchange's peers may have changed.
@@ -54,6 +57,7 @@
 		membership:  dfumembership.New(self, cfg.Membership, rng),
 		view:        New(),
 		updates:     make(map[dfuident.NodeID]dfumembership.Update),
+		holders:     make(map[dfuident.Address]dfuident.Member),
 		unreachable: make(map[dfuident.Region]bool),
 		peersStale:  true,
 	}
@@ -155,7 +159,7 @@
 			k.peersStale = true
 		case dfumembership.Forgotten:
 			for _, id := range a.Nodes {
-				delete(k.updates, id)
+				k.forget(id)
 			}
 			k.change.Forgotten = append(k.change.Forgotten, a.Nodes...)
 		case dfumembership.RegionChanged:
@@ -166,6 +170,13 @@
 	}
 }
 
+func (k *Keeper) forget(id dfuident.NodeID) {
+	if u, ok := k.updates[id]; ok && k.holders[u.Details.Peer].Node == id {
+		delete(k.holders, u.Details.Peer)
+	}
+	delete(k.updates, id)
+}
+
 func (k *Keeper) sendMembership(a dfumembership.Send, received bool) {
 	kind := a.Message.Kind
 	p := Packet{Membership: &a.Message}
@@ -201,6 +212,7 @@
 // takeUpdate brings a member's state into the next view.
 func (k *Keeper) takeUpdate(u dfumembership.Update) {
 	k.updates[u.Member.Node] = u
+	replaced := k.hold(u)
 	n := Node{
 		Member:  u.Member,
 		Place:   u.Details.Place,
@@ -220,6 +232,30 @@
 	if !known || old != n {
 		k.change.Nodes = append(k.change.Nodes, n)
 	}
+	if old, ok := k.updates[replaced]; ok {
+		k.takeUpdate(old)
+	}
+}
+
+// hold notes which run has a peer address, and returns the node that lost it.
+func (k *Keeper) hold(u dfumembership.Update) dfuident.NodeID {
+	address := u.Details.Peer
+	holder, ok := k.holders[address]
+	switch {
+	case address == "", ok && holder.Incarnation >= u.Member.Incarnation:
+		return ""
+	}
+	k.holders[address] = u.Member
+	if holder.Node == u.Member.Node {
+		return ""
+	}
+	return holder.Node
+}
+
+// isReplaced reports whether a later run of another node has the address.
+func (k *Keeper) isReplaced(u dfumembership.Update) bool {
+	holder := k.holders[u.Details.Peer]
+	return holder.Node != "" && holder.Node != u.Member.Node && holder.Incarnation > u.Member.Incarnation
 }
 
 // stateOf derives the state that deciders see. An operator drains a target by
@@ -228,7 +264,7 @@
 	switch {
 	case u.State == dfumembership.Left:
 		return Left
-	case u.State == dfumembership.Dead:
+	case u.State == dfumembership.Dead, k.isReplaced(u):
 		return Dead
 	case k.unreachable[u.Details.Place.Region]:
 		return Unreachable
