io/process/dfucontrol: join by peers while the store can not be reached

Change: nodes go on looking for members that left, as they do for dead ones; a node that has not joined notes who calls it, and joins by that peer when the store fails. It answers offers for its former run as not run from its first moment on. Only where no keys are claimed, since such an incarnation is not proved to be a later one. Test: TestNodeJoinsByPeersWhileTheStoreIsAway.

--- a/core/process/dfumembership/sync.go
+++ b/core/process/dfumembership/sync.go
@@ -197,8 +197,9 @@
 	return m.sync.buckets[:]
 }
 
-// stepSeeds tries to reach a member that the zone pages list or that died, so
-// that groups of members that lost each other meet again.
+// stepSeeds tries to reach a member that the zone pages list, that died or that
+// left, so that groups of members that lost each other meet again, and a node
+// that has started again is met also while it can't read the pages.
 func (m *Machine) stepSeeds(now dfuclock.Time) {
 	if now.Sub(m.startedAt) >= m.cfg.JoinPeriod {
 		m.sync.joined = true
@@ -221,12 +222,12 @@
 func (m *Machine) pickSeed() (Contact, bool) {
 	var unknown []Contact
 	for _, s := range m.seeds {
-		if h, ok := m.members[s.Contact.Member.Node]; (!ok || h.update.State == Dead) && m.mayContact(s.Contact.Region) {
+		if h, ok := m.members[s.Contact.Member.Node]; (!ok || h.isGone()) && m.mayContact(s.Contact.Region) {
 			unknown = append(unknown, s.Contact)
 		}
 	}
 	for _, h := range m.order {
-		if h.update.State == Dead && h.update.Details.Place.Region == m.region {
+		if h.isGone() && h.update.Details.Place.Region == m.region {
 			unknown = append(unknown, h.contact())
 		}
 	}
@@ -236,6 +237,11 @@
 	return unknown[m.rng.IntN(len(unknown))], true
 }
 
+// isGone reports whether a member died or left.
+func (h *member) isGone() bool {
+	return h.update.State == Dead || h.update.State == Left
+}
+
 func (m *Machine) mayContact(region dfuident.Region) bool {
 	if region == m.region {
 		return true
--- a/io/process/dfucontrol/config.go
+++ b/io/process/dfucontrol/config.go
@@ -38,6 +38,10 @@
 	// Prefixes are the keys of the store that every node holds a copy of.
 	Prefixes   []string
 	Membership dfumembership.Config
+	// JoinByPeers lets a node that can't reach the store join by the peers that
+	// call it. Its incarnation is then the wall clock's, which nothing proves to
+	// be above that of its former run.
+	JoinByPeers bool
 	// CallTimeout bounds one call to a peer.
 	CallTimeout dfuclock.Duration
 	// WatchWait is how long a watch waits in the store for a change.
--- a/io/process/dfucontrol/duty.go
+++ b/io/process/dfucontrol/duty.go
@@ -9,6 +9,7 @@
 
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/process/dfumembership"
 	"dragonflyusher/core/process/dfuring"
 	"dragonflyusher/core/version/dfuroster"
 
@@ -22,6 +23,8 @@
 
 	inbox  *dfuring.Ring[input]
 	outbox *dfuring.Ring[outgoing]
+	// callers are the peers that called before the node had joined.
+	callers *dfuring.Ring[dfumembership.Contact]
 	// announced wakes the owner when announcement was replaced.
 	announced chan struct{}
 	// reads asks for one list of every prefix.
@@ -41,6 +44,9 @@
 	rand   *rand.Rand
 }
 
+// maxCallers bounds the peers by which a node may join.
+const maxCallers = 4
+
 // input is an event for the owner of the keeper. A peer's call waits for
 // answer, which is nil for all else.
 type input struct {
@@ -55,6 +61,7 @@
 		deps:      deps,
 		inbox:     dfuring.New[input](cfg.RingSize),
 		outbox:    dfuring.New[outgoing](cfg.RingSize),
+		callers:   dfuring.New[dfumembership.Contact](maxCallers),
 		announced: make(chan struct{}, 1),
 		reads:     make(chan struct{}, 1),
 		rand:      deps.Rand,
--- a/io/process/dfucontrol/duty_test.go
+++ b/io/process/dfucontrol/duty_test.go
@@ -170,6 +170,8 @@
 func (f *fleet) startAt(i int, wall func() time.Time) (*dfucontrol.Duty, func()) {
 	cfg := dfucontrol.DefaultConfig()
 	cfg.PagePeriod = 100 * dfuclock.Millisecond
+	cfg.JoinByPeers = true
+	cfg.Membership.SeedPeriod = dfuclock.Second
 	cfg.Membership.DeadRetention = 5 * dfuclock.Second
 	cfg.Node = dfuident.NodeID(fmt.Sprintf("vm-%d", i))
 	cfg.Place = dfuident.Place{Region: "sued", Zone: dfuident.Zone(fmt.Sprintf("sued-%c", 'a'+i%2))}
@@ -367,3 +369,39 @@
 		t.Fatal("the entry is gone")
 	}
 }
+
+// A node that starts again while the store is away joins by the peers that look
+// for it, and takes the catalogue from them.
+func TestNodeJoinsByPeersWhileTheStoreIsAway(t *testing.T) {
+	f := newFleet(t)
+	var duties []*dfucontrol.Duty
+	var end func()
+	for i := range 4 {
+		var d *dfucontrol.Duty
+		d, end = f.start(i)
+		duties = append(duties, d)
+	}
+	f.store.put("catalogue/lager", entryValue(t, "one"))
+	f.wait("every node sees four targets", allAlive(duties, 4))
+	former := duties[3].Member()
+	f.store.setDown(true)
+	duties[3].Announce(dfucontrol.Announcement{Left: true})
+	f.wait("the leave is known", func() bool {
+		node, _ := duties[0].View().Node("vm-3")
+		return node.State == dfuroster.Left
+	})
+	end()
+	again, _ := f.start(3)
+	duties[3] = again
+	f.wait("it joins", func() bool { return again.Member().Incarnation > former.Incarnation })
+	f.wait("every node sees four targets", allAlive(duties, 4))
+	f.wait("the entry is in force", func() bool {
+		_, _, ok := again.View().Entry("lager")
+		return ok
+	})
+	f.store.setDown(false)
+	f.wait("it is on its page", func() bool {
+		nodes, _ := f.store.page(t, "zone/sued/sued-b")
+		return slices.ContainsFunc(nodes, func(m dfuident.Member) bool { return m == again.Member() })
+	})
+}
--- a/io/process/dfucontrol/page.go
+++ b/io/process/dfucontrol/page.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"time"
 
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
@@ -52,9 +53,32 @@
 			return d.nextIncarnation(nodes), seedsOf(nodes), nil
 		}
 		d.storeFailed("read zone pages", err)
-		if err := wait.sleep(ctx); err != nil {
+		caller, called, err := d.awaitCaller(ctx, &wait)
+		if err != nil {
 			return 0, nil, err
 		}
+		if called {
+			d.deps.Log.Info("joining by a peer", zap.Stringer("peer", caller.Member))
+			return d.nextIncarnation(nil), []dfumembership.Seed{{Contact: caller}}, nil
+		}
+	}
+}
+
+// awaitCaller waits until the store may be tried again, or until a peer calls by
+// which the node may join.
+func (d *Duty) awaitCaller(ctx context.Context, wait *backoff) (dfumembership.Contact, bool, error) {
+	if !d.cfg.JoinByPeers {
+		return dfumembership.Contact{}, false, wait.sleep(ctx)
+	}
+	timer := time.NewTimer(wait.take().Std())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return dfumembership.Contact{}, false, ctx.Err()
+	case <-timer.C:
+		return dfumembership.Contact{}, false, nil
+	case caller := <-d.callers.Items():
+		return caller, true, nil
 	}
 }
 
--- a/io/process/dfucontrol/receiver.go
+++ b/io/process/dfucontrol/receiver.go
@@ -29,6 +29,9 @@
 func (r *Receiver) Deliver(packet, answer *dfuroster.Packet) error {
 	d := r.duty
 	if d.Member().IsZero() {
+		if packet.Membership != nil {
+			d.callers.Offer(packet.Membership.From)
+		}
 		return errNotReady
 	}
 	reply := make(chan dfuroster.Packet, 1)
--- a/io/process/dfucontrol/watch.go
+++ b/io/process/dfucontrol/watch.go
@@ -143,7 +143,12 @@
 
 // sleep waits between half and the whole of the present wait.
 func (b *backoff) sleep(ctx context.Context) error {
-	err := sleep(ctx, b.next/2+b.duty.jitter(b.next/2))
+	return sleep(ctx, b.take())
+}
+
+// take returns between half and the whole of the present wait and doubles it.
+func (b *backoff) take() dfuclock.Duration {
+	wait := b.next/2 + b.duty.jitter(b.next/2)
 	b.next = min(b.next*2, b.duty.cfg.RetryMax)
-	return err
+	return wait
 }
--- a/io/process/dfunode/gates.go
+++ b/io/process/dfunode/gates.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/request/dfugate"
+	"dragonflyusher/core/request/dfuoutcome"
 	"dragonflyusher/core/version/dfuroster"
 	"dragonflyusher/io/connection/dfupeer"
 	"dragonflyusher/io/request/dfuadmission"
@@ -62,6 +64,56 @@
 	view func() *dfuroster.View
 }
 
+// gateReceiver is what is registered as "Gate". Before the node has joined it has
+// no gate: what reaches it is meant for a former run.
+type gateReceiver struct {
+	started *atomic.Pointer[started]
+	view    func() *dfuroster.View
+}
+
+// gate returns the gate, or nil before the node has joined.
+func (r *gateReceiver) gate() *receiver {
+	s := r.started.Load()
+	if s == nil {
+		return nil
+	}
+	return &receiver{duty: s.gate, view: r.view}
+}
+
+// Offer runs a request and fills in its reply.
+func (r *gateReceiver) Offer(offer *dfumessage.Offer, reply *dfumessage.Reply) error {
+	if g := r.gate(); g != nil {
+		return g.Offer(offer, reply)
+	}
+	*reply = dfumessage.Reply{ID: offer.ID, Outcome: dfuoutcome.NotRun, Reason: dfuoutcome.ReasonStaleRequest}
+	return nil
+}
+
+// Cancel withdraws a request.
+func (r *gateReceiver) Cancel(cancel *dfumessage.Cancel, done *struct{}) error {
+	if g := r.gate(); g != nil {
+		return g.Cancel(cancel, done)
+	}
+	return nil
+}
+
+// News takes what another gate of the service tells about crashes.
+func (r *gateReceiver) News(news *News, done *struct{}) error {
+	if g := r.gate(); g != nil {
+		return g.News(news, done)
+	}
+	return nil
+}
+
+// Seal finds that a former run is over.
+func (r *gateReceiver) Seal(seal *dfumessage.Seal, reply *dfumessage.SealReply) error {
+	if g := r.gate(); g != nil {
+		return g.Seal(seal, reply)
+	}
+	*reply = dfumessage.SealReply{ID: seal.ID, State: dfumessage.SealForgotten}
+	return nil
+}
+
 var errGateBusy = errors.New("gate is too busy to answer a seal")
 
 // Offer runs a request and fills in its reply.
--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -139,7 +139,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return n, n.server.Register(dfucontrol.ReceiverName, n.control.Receiver())
+	err = n.server.Register("Gate", &gateReceiver{started: &n.started, view: n.control.View})
+	return n, errors.CombineErrors(err, n.server.Register(dfucontrol.ReceiverName, n.control.Receiver()))
 }
 
 // Addresses returns where the node listens for callers and for other nodes.
@@ -164,6 +165,7 @@
 	var wg sync.WaitGroup
 	failed := make(chan error, 1)
 	wg.Go(func() { n.pool.Run(life) })
+	wg.Go(n.server.Run)
 	for i, l := range n.adminOn {
 		wg.Go(func() {
 			if err := n.admins[i].Serve(l); err != nil {
@@ -274,6 +276,7 @@
 	if n.adapters.Routed {
 		cfg.Prefixes = []string{dfustore.RoutesKey}
 		cfg.WatchWait = routesWatchWait
+		cfg.JoinByPeers = true
 	}
 	cfg.Place = n.place()
 	callers, peers := n.Addresses()
@@ -313,19 +316,14 @@
 		}
 	}
 	s := n.assemble(n.control.Member())
-	err := n.server.Register("Gate", &receiver{duty: s.gate, view: n.control.View})
-	if s.claims != nil {
-		err = errors.CombineErrors(err, n.server.Register(dfuclaimer.ReceiverName, s.claims.Receiver()))
-	}
-	if err != nil {
-		n.log.Error("register receivers", zap.Error(err))
-		return nil
-	}
 	if s.claims != nil {
+		if err := n.server.Register(dfuclaimer.ReceiverName, s.claims.Receiver()); err != nil {
+			n.log.Error("register receivers", zap.Error(err))
+			return nil
+		}
 		wg.Go(func() { s.claims.Run(n.untilSuperseded(life)) })
 	}
 	wg.Go(func() { s.news.run(life) })
-	wg.Go(n.server.Run)
 	wg.Go(func() { s.target.run(life.Done()) })
 	n.started.Store(s)
 	n.publish(n.control.View())
