io/process/dfucontrol: read the records at the start

Ruled out: the store (it answered the zone pages at once). Change: where operators give routes a node lists them as soon as it runs, one call for each start. Test: TestNodeReadsAtItsStart (fails without the change).

--- a/io/process/dfucontrol/config.go
+++ b/io/process/dfucontrol/config.go
@@ -42,6 +42,9 @@
 	// call it. Its incarnation is then the wall clock's, which nothing proves to
 	// be above that of its former run.
 	JoinByPeers bool
+	// ReadAtStart makes a node read its records from the store as soon as it
+	// runs, in place of waiting until its peers have told it theirs.
+	ReadAtStart bool
 	// CallTimeout bounds one call to a peer.
 	CallTimeout dfuclock.Duration
 	// WatchWait is how long a watch waits in the store for a change.
--- a/io/process/dfucontrol/duty.go
+++ b/io/process/dfucontrol/duty.go
@@ -118,6 +118,9 @@
 	d.member.Store(&member)
 	d.deps.Log.Info("joined", zap.Stringer("member", member), zap.Int("listed", len(seeds)))
 
+	if d.cfg.ReadAtStart {
+		d.reads <- struct{}{}
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = d.keepPage(ctx, len(seeds)) })
--- a/io/process/dfucontrol/duty_test.go
+++ b/io/process/dfucontrol/duty_test.go
@@ -156,6 +156,8 @@
 	t     *testing.T
 	store *fakeStore
 	net   *network
+	// joinPeriod replaces the usual one if it is set.
+	joinPeriod dfuclock.Duration
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -171,6 +173,10 @@
 	cfg := dfucontrol.DefaultConfig()
 	cfg.PagePeriod = 100 * dfuclock.Millisecond
 	cfg.JoinByPeers = true
+	cfg.ReadAtStart = true
+	if f.joinPeriod > 0 {
+		cfg.Membership.JoinPeriod = f.joinPeriod
+	}
 	cfg.Membership.SeedPeriod = dfuclock.Second
 	cfg.Membership.DeadRetention = 5 * dfuclock.Second
 	cfg.Node = dfuident.NodeID(fmt.Sprintf("vm-%d", i))
@@ -405,3 +411,26 @@
 		return slices.ContainsFunc(nodes, func(m dfuident.Member) bool { return m == again.Member() })
 	})
 }
+
+// A node reads its records at its start: after a loss of power there is no peer
+// that could tell it, and nobody watches until the nodes have met.
+func TestNodeReadsAtItsStart(t *testing.T) {
+	f := newFleet(t)
+	f.store.put("catalogue/lager", entryValue(t, "one"))
+	page, err := json.Marshal([]map[string]any{{
+		"node": "vm-9", "incarnation": 1, "peer": "127.0.0.1:7999", "place": map[string]string{"region": "sued", "zone": "sued-a"},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.store.put("zone/sued/sued-a", page)
+	f.joinPeriod = dfuclock.Hour
+	d, _ := f.start(0)
+	f.wait("the entry is in force", func() bool {
+		_, _, ok := d.View().Entry("lager")
+		return ok
+	})
+	if status := d.Status(); status.Watcher || status.Exchange.Reads > 0 {
+		t.Fatalf("the entry was not read at the start: %+v", status)
+	}
+}
--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -277,6 +277,7 @@
 		cfg.Prefixes = []string{dfustore.RoutesKey}
 		cfg.WatchWait = routesWatchWait
 		cfg.JoinByPeers = true
+		cfg.ReadAtStart = true
 	}
 	cfg.Place = n.place()
 	callers, peers := n.Addresses()
