--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -274,7 +274,7 @@
 	cfg := dfucontrol.DefaultConfig()
 	cfg.Node = n.settings.Node
 	if n.adapters.Routed {
-		cfg.Prefixes = []string{dfustore.RoutesKey}
+		cfg.Prefixes = []string{dfustore.RoutesKey, dfustore.CataloguePrefix}
 		cfg.WatchWait = routesWatchWait
 		cfg.JoinByPeers = true
 		cfg.ReadAtStart = true
