io/process/dfulog: bound the log's volume; metrics as text, times, cheaper reads

Each message has a budget of lines a second; the next second tells how many of what were left out. Lines are written by a goroutine of their own; what finds the ring full is dropped and counted. One line for each attempt, refusal of a gate and request without an answer names the caller's id, the inputs (load, pace, objective, version of the routes) and the outcome. /dragonflyusher/metrics.txt serves counters, gauges and times as text; requests count by kind, outcome and reason, calls to the store by kind and result. Bridges look at their page by reads that may be seconds old and cost a tenth. Failed on the way: beginning a watch with such an old list.

--- a/cmd/dragonflyusherd/main.go
+++ b/cmd/dragonflyusherd/main.go
@@ -16,6 +16,7 @@
 	"dragonflyusher/io/process/dfulog"
 	"dragonflyusher/io/process/dfunode"
 	"dragonflyusher/io/process/dfusettings"
+	"dragonflyusher/io/process/dfustore"
 	"dragonflyusher/platform"
 
 	"github.com/jessevdk/go-flags"
@@ -72,14 +73,21 @@
 	if settings.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(settings.Limits.MemoryMB) << 20 * memoryShare / 100)
 	}
-	log, level, err := dfulog.New(settings.Log.Level, zap.String("node", string(settings.Node)))
+	out := os.Stderr
+	if settings.Log.Output == dfusettings.OutputStdout {
+		out = os.Stdout
+	}
+	log, err := dfulog.New(dfulog.Config{
+		Level: settings.Log.Level, LinesPerSecond: settings.Log.LinesPerS, Out: out,
+	}, zap.String("node", string(settings.Node)))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
+	defer log.Close()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	node, err := dfunode.New(ctx, settings, adapters(settings), log, level)
+	node, err := dfunode.New(ctx, settings, adapters(settings), log)
 	if err != nil {
 		log.Error("start failed", zap.Error(err))
 		return exitFailed
@@ -101,7 +109,12 @@
 // adapters returns how the node speaks to what is around it.
 func adapters(settings dfusettings.Settings) dfunode.Adapters {
 	a := dfunode.Adapters{
-		Store:   dfuplatform.NewStore(dfuplatform.StoreConfig{Address: settings.Store.Address, Timeout: settings.Store.Timeout}),
+		Store: func(count func(call, result string)) dfustore.Store {
+			return dfuplatform.NewStore(dfuplatform.StoreConfig{
+				Address: settings.Store.Address, Timeout: settings.Store.Timeout,
+				Count: func(call dfuplatform.StoreCall, result string) { count(string(call), result) },
+			})
+		},
 		Callers: dfufront.Native{},
 		Targets: dfutarget.Native{},
 	}
--- a/docs/dfudocs/docs_test.go
+++ b/docs/dfudocs/docs_test.go
@@ -136,8 +136,13 @@
 
 // metricOf reads a name that is a literal or a literal with something added.
 func metricOf(t *testing.T, path string, e ast.Expr) metric {
-	sum, prefix := e.(*ast.BinaryExpr)
-	if prefix {
+	prefix := false
+	for {
+		sum, ok := e.(*ast.BinaryExpr)
+		if !ok {
+			break
+		}
+		prefix = true
 		e = sum.X
 	}
 	literal, ok := e.(*ast.BasicLit)
--- a/io/connection/dfufront/front.go
+++ b/io/connection/dfufront/front.go
@@ -45,6 +45,8 @@
 
 // Result is what the caller is told.
 type Result struct {
+	// Service is the service that was chosen, if one was.
+	Service  dfuident.Service
 	Outcome  dfuoutcome.Outcome
 	Reason   dfuoutcome.Reason
 	Detail   string
--- a/io/process/dfucontrol/duty_test.go
+++ b/io/process/dfucontrol/duty_test.go
@@ -28,8 +28,9 @@
 	mu   sync.Mutex
 	down bool
 	// lose makes that many writes take effect without a reply.
-	lose     int
-	writes   int
+	lose   int
+	writes int
+	// gets counts the looks at a page.
 	gets     int
 	revision dfuident.Revision
 	records  map[string]dfustore.Record
@@ -66,6 +67,13 @@
 	return s.since(prefix, 0)
 }
 
+func (s *fakeStore) ListRecent(ctx context.Context, prefix string) ([]dfustore.Record, dfuident.Revision, error) {
+	s.mu.Lock()
+	s.gets++
+	s.mu.Unlock()
+	return s.List(ctx, prefix)
+}
+
 func (s *fakeStore) since(prefix string, after dfuident.Revision) ([]dfustore.Record, dfuident.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/process/dfucontrol/page.go
+++ b/io/process/dfucontrol/page.go
@@ -134,7 +134,7 @@
 // readPages returns the nodes of the pages under a prefix. A page that can't
 // be decoded is reported and left out.
 func (d *Duty) readPages(ctx context.Context, prefix string) ([]pageNode, error) {
-	records, _, err := d.deps.Store.List(ctx, prefix)
+	records, _, err := d.deps.Store.ListRecent(ctx, prefix)
 	if err != nil {
 		return nil, err
 	}
@@ -187,13 +187,39 @@
 			clear(absent)
 			continue
 		}
-		if _, err := d.writePage(ctx, absent); err != nil && !errors.Is(err, dfustore.ErrConflict) {
-			d.storeFailed("write zone page", err)
+		if d.pageDiffers(ctx, absent) {
+			if _, err := d.writePage(ctx, absent); err != nil && !errors.Is(err, dfustore.ErrConflict) {
+				d.storeFailed("write zone page", err)
+			}
 		}
 		d.readSeeds(ctx)
 	}
 }
 
+// pageDiffers reports whether the zone's page, as it was seconds ago, seems to
+// need a change.
+func (d *Duty) pageDiffers(ctx context.Context, absent gone) bool {
+	key := dfustore.ZoneKey(d.cfg.Place)
+	records, _, err := d.deps.Store.ListRecent(ctx, key)
+	if err != nil {
+		d.storeFailed("read zone page", err)
+		return false
+	}
+	for _, r := range records {
+		if r.Key != key {
+			continue
+		}
+		page, err := decodePage(r)
+		if err != nil {
+			return true
+		}
+		view := d.View()
+		expired := absent.expire(page, view, d.deps.Clock.Now(), d.cfg.Membership.DeadRetention)
+		return !slices.Equal(page, mergePage(page, view, d.cfg.Place, expired))
+	}
+	return true
+}
+
 // readSeeds tells the membership whom the pages list, if the store answers.
 func (d *Duty) readSeeds(ctx context.Context) {
 	nodes, err := d.readPages(ctx, dfustore.ZonePrefix)
--- a/io/process/dfucontrol/watch.go
+++ b/io/process/dfucontrol/watch.go
@@ -89,6 +89,8 @@
 	}
 }
 
+// list takes the records under a prefix over. Its answer must not be old: a watch
+// from a revision whose history is gone would never begin.
 func (d *Duty) list(ctx context.Context, prefix string) (dfuident.Revision, error) {
 	records, revision, err := d.deps.Store.List(ctx, prefix)
 	if err != nil {
--- a/io/process/dfulog/log.go
+++ b/io/process/dfulog/log.go
@@ -1,6 +1,7 @@
 package dfulog
 
 import (
+	"io"
 	"reflect"
 
 	"github.com/cockroachdb/errors"
@@ -8,22 +9,48 @@
 	"go.uber.org/zap/zapcore"
 )
 
-// New returns a log at the named level and the level itself, which may be
-// changed while the program runs.
-func New(level string, fields ...zap.Field) (*zap.Logger, zap.AtomicLevel, error) {
-	atomic, err := zap.ParseAtomicLevel(level)
+// Config says what is logged and where.
+type Config struct {
+	// Level is one of debug, info, warn and error.
+	Level string
+	// LinesPerSecond bounds the lines with the same message; zero bounds nothing.
+	LinesPerSecond int
+	// Out is where lines go.
+	Out io.Writer
+}
+
+// Log is a log with what may be asked of it while the program runs.
+type Log struct {
+	*zap.Logger
+	// Level may be changed at any time.
+	Level zap.AtomicLevel
+	ring  *ringWriter
+}
+
+// New returns a log.
+func New(cfg Config, fields ...zap.Field) (*Log, error) {
+	level, err := zap.ParseAtomicLevel(cfg.Level)
 	if err != nil {
-		return nil, zap.AtomicLevel{}, errors.Wrap(err, "log level")
+		return nil, errors.Wrap(err, "log level")
 	}
-	cfg := zap.NewProductionConfig()
-	cfg.Level = atomic
-	cfg.Sampling = nil
-	cfg.DisableCaller = true
-	cfg.DisableStacktrace = true
-	cfg.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
-	cfg.EncoderConfig.TimeKey = "time"
-	log, err := cfg.Build(zap.WrapCore(newPlainErrors), zap.Fields(fields...))
-	return log, atomic, errors.Wrap(err, "make log")
+	encoding := zap.NewProductionEncoderConfig()
+	encoding.EncodeTime = zapcore.ISO8601TimeEncoder
+	encoding.TimeKey = "time"
+	ring := newRingWriter(cfg.Out)
+	core := newPlainErrors(zapcore.NewCore(zapcore.NewJSONEncoder(encoding), ring, level))
+	return &Log{Logger: zap.New(newBudget(core, cfg.LinesPerSecond), zap.Fields(fields...)), Level: level, ring: ring}, nil
+}
+
+// Close writes what waits, within a bounded time, and ends the log.
+func (l *Log) Close() {
+	// The ring's own Sync does not fail.
+	_ = l.Sync()
+	l.ring.close()
+}
+
+// Dropped returns how many lines were dropped because the log's reader is slow.
+func (l *Log) Dropped() uint64 {
+	return l.ring.Dropped()
 }
 
 // plainErrors is a core that writes an error's message without its stack, which
--- a/io/process/dfulog/log_test.go
+++ b/io/process/dfulog/log_test.go
@@ -18,11 +18,9 @@
 	is := is.New(t)
 	r, w, err := os.Pipe()
 	is.NoErr(err)
-	stderr := os.Stderr
-	os.Stderr = w
-	log, level, err := New("info", zap.String("node", "n"), zap.Error(errors.New("base")))
-	os.Stderr = stderr
+	log, err := New(Config{Level: "info", Out: w}, zap.String("node", "n"), zap.Error(errors.New("base")))
 	is.NoErr(err)
+	level := log.Level
 	fault := errors.Wrap(errors.New("inner"), "outer")
 	log.Debug("hidden")
 	log.Error("field", zap.Error(fault), zap.NamedError("cause", fault), zap.Errors("all", []error{fault, nil}), zap.Any("any", fault))
@@ -32,6 +30,7 @@
 	is.Equal(reused[0], zap.Error(fault)) // the caller's fields stay as they were
 	level.SetLevel(zapcore.DebugLevel)
 	log.Debug("shown", zap.Error(nil), zap.NamedError("none", nil))
+	log.Close()
 	w.Close()
 	var lines []map[string]any
 	for d := json.NewDecoder(r); ; {
@@ -53,6 +52,6 @@
 	is.NoErr(err)
 	is.Equal(string(got), `[{"all":["outer: inner"],"any":"outer: inner","cause":"outer: inner","error":"outer: inner","level":"error","msg":"field"},`+
 		`{"error":"outer: inner","level":"info","msg":"with"},{"error":"base","level":"debug","msg":"shown"}]`)
-	_, _, err = New("loud")
+	_, err = New(Config{Level: "loud"})
 	is.True(err != nil)
 }
--- a/io/process/dfunode/admin.go
+++ b/io/process/dfunode/admin.go
@@ -67,6 +67,8 @@
 		writeJSON(ctx, n.nodes())
 	case "metrics":
 		writeJSON(ctx, n.metrics)
+	case "metrics.txt":
+		n.adminText(ctx)
 	case "trace":
 		writeJSON(ctx, n.tracer.Recent(string(ctx.QueryArgs().Peek("id"))))
 	case "log-level":
@@ -125,13 +127,13 @@
 // adminLevel shows the log level, or sets it on PUT.
 func (n *Node) adminLevel(ctx *fasthttp.RequestCtx) {
 	if ctx.IsPut() {
-		if err := json.Unmarshal(ctx.PostBody(), &n.level); err != nil {
+		if err := json.Unmarshal(ctx.PostBody(), &n.lines.Level); err != nil {
 			writeError(ctx, fasthttp.StatusBadRequest, errors.Wrap(err, "want a JSON string such as \"debug\""))
 			return
 		}
 		n.log.Info("log level changed")
 	}
-	writeJSON(ctx, n.level)
+	writeJSON(ctx, n.lines.Level)
 }
 
 func (n *Node) status() Status {
--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -13,6 +13,7 @@
 	"dragonflyusher/core/connection/dfuchoice"
 	"dragonflyusher/core/process/dfubudget"
 	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuhistogram"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/process/dfumembership"
 	"dragonflyusher/core/process/dfuring"
@@ -25,6 +26,7 @@
 	"dragonflyusher/io/connection/dfupeer"
 	"dragonflyusher/io/connection/dfutarget"
 	"dragonflyusher/io/process/dfucontrol"
+	"dragonflyusher/io/process/dfulog"
 	"dragonflyusher/io/process/dfusettings"
 	"dragonflyusher/io/process/dfustore"
 	"dragonflyusher/io/request/dfuadmission"
@@ -64,9 +66,10 @@
 	settings dfusettings.Settings
 	live     atomic.Pointer[dfusettings.Settings]
 	log      *zap.Logger
-	level    zap.AtomicLevel
+	lines    *dfulog.Log
 	clock    dfuclock.Clock
 	metrics  metrics.Registry
+	times    *dfuhistogram.Set
 	tracer   *dfutrace.Tracer
 	http     net.Listener
 	peer     net.Listener
@@ -98,7 +101,9 @@
 
 // Adapters are how a node speaks to what is around it.
 type Adapters struct {
-	Store   dfustore.Store
+	// Store returns the client of the store, which tells count of each call and
+	// what became of it.
+	Store   func(count func(call, result string)) dfustore.Store
 	Callers dfufront.Dialect
 	Targets dfutarget.Dialect
 	// Routed says that operators give routes, whose requests run at most once
@@ -107,18 +112,19 @@
 }
 
 // New opens the node's listeners and prepares its duties.
-func New(ctx context.Context, settings dfusettings.Settings, adapters Adapters, log *zap.Logger, level zap.AtomicLevel) (*Node, error) {
+func New(ctx context.Context, settings dfusettings.Settings, adapters Adapters, log *dfulog.Log) (*Node, error) {
 	n := &Node{
 		settings:   settings,
-		store:      adapters.Store,
 		adapters:   adapters,
-		log:        log,
-		level:      level,
+		log:        log.Logger,
+		lines:      log,
 		clock:      dfuclock.New(),
 		metrics:    metrics.NewRegistry(),
+		times:      dfuhistogram.New(),
 		superseded: make(chan struct{}),
 	}
 	n.live.Store(&settings)
+	n.store = adapters.Store(n.countStore)
 	if err := n.listen(ctx); err != nil {
 		return nil, err
 	}
@@ -352,6 +358,7 @@
 		Clock:   n.clock,
 		Log:     n.log,
 		Metrics: n.metrics,
+		Times:   n.times,
 		Tracer:  n.tracer,
 		Region:  n.settings.Region,
 		Claims:  claims,
@@ -369,6 +376,7 @@
 		Clock:   n.clock,
 		Log:     n.log,
 		Metrics: n.metrics,
+		Times:   n.times,
 		Tracer:  n.tracer,
 		Gates:   gates{pool: n.pool, local: &receiver{duty: gate, view: n.control.View}},
 		Owners:  owners,
@@ -447,6 +455,11 @@
 	return dfubudget.FleetLimits{Ratio: r.Ratio, Reserve: r.Reserve, Window: r.Window.Duration()}
 }
 
+// countStore counts a call to the store by its kind and what became of it.
+func (n *Node) countStore(call, result string) {
+	metrics.GetOrRegisterCounter("store."+call+"."+result, n.metrics).Inc(1)
+}
+
 // healthPath returns the path at which the target beside the node tells its
 // load.
 func (n *Node) healthPath() string {
--- a/io/process/dfunode/reload.go
+++ b/io/process/dfunode/reload.go
@@ -58,7 +58,7 @@
 	}
 	n.live.Store(&next)
 	if level, err := zapcore.ParseLevel(next.Log.Level); err == nil {
-		n.level.SetLevel(level)
+		n.lines.Level.SetLevel(level)
 	}
 	if s := n.started.Load(); s != nil {
 		s.entry.SetLimits(fleetLimits(next.Retry))
--- a/io/process/dfusettings/settings.go
+++ b/io/process/dfusettings/settings.go
@@ -47,6 +47,12 @@
 	DrainTimeout dfuclock.Duration `json:"drain_timeout_ms"`
 }
 
+// The outputs of the log.
+const (
+	outputStderr = "stderr"
+	OutputStdout = "stdout"
+)
+
 // Protocol is how callers and targets are spoken to.
 type Protocol string
 
@@ -101,6 +107,11 @@
 type Log struct {
 	// Level is one of debug, info, warn and error.
 	Level string `json:"level"`
+	// LinesPerS bounds the lines with the same message in a second; zero bounds
+	// nothing.
+	LinesPerS int `json:"lines_per_s"`
+	// Output is stderr or stdout.
+	Output string `json:"output"`
 }
 
 // Trace selects which requests are traced and where their spans go.
@@ -153,7 +164,7 @@
 func defaults() Settings {
 	return Settings{
 		Store:        Store{Timeout: defaultStoreTimeout},
-		Log:          Log{Level: defaultLevel},
+		Log:          Log{Level: defaultLevel, Output: outputStderr},
 		DrainTimeout: defaultDrainTimeout,
 		Protocol:     ProtocolNative,
 		Limits: Limits{
@@ -211,6 +222,12 @@
 	default:
 		c.add("log.level", "is %q, must be one of debug, info, warn, error", s.Log.Level)
 	}
+	if s.Log.LinesPerS < 0 {
+		c.add("log.lines_per_s", "is %d, must not be negative", s.Log.LinesPerS)
+	}
+	if s.Log.Output != outputStderr && s.Log.Output != OutputStdout {
+		c.add("log.output", "is %q, must be %q or %q", s.Log.Output, outputStderr, OutputStdout)
+	}
 	if s.Trace.SamplePerMille < 0 || s.Trace.SamplePerMille > 1000 {
 		c.add("trace.sample_per_mille", "is %d, must be from 0 to 1000", s.Trace.SamplePerMille)
 	}
--- a/io/process/dfustore/store.go
+++ b/io/process/dfustore/store.go
@@ -16,6 +16,9 @@
 	// List returns the records whose key has the prefix, ordered by key, and a
 	// revision of the store that all of them are at least as new as.
 	List(ctx context.Context, prefix string) ([]Record, dfuident.Revision, error)
+	// ListRecent is List at a tenth of the price. What it returns may be seconds
+	// old, as its revision tells.
+	ListRecent(ctx context.Context, prefix string) ([]Record, dfuident.Revision, error)
 	// Watch waits until a record whose key has the prefix has a revision above
 	// after, for wait at the longest. It returns all such records, deletes
 	// included, ordered by revision, and the revision to watch from next. Both
--- a/io/request/dfuadmission/duty.go
+++ b/io/request/dfuadmission/duty.go
@@ -7,6 +7,7 @@
 
 	"dragonflyusher/core/process/dfubudget"
 	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuhistogram"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/request/dfugate"
 	"dragonflyusher/core/request/dfuoutcome"
@@ -24,6 +25,7 @@
 	Clock   dfuclock.Clock
 	Log     *zap.Logger
 	Metrics metrics.Registry
+	Times   *dfuhistogram.Set
 	Tracer  *dfutrace.Tracer
 	Region  dfuident.Region
 	Claims  Claims
--- a/io/request/dfuadmission/offer.go
+++ b/io/request/dfuadmission/offer.go
@@ -30,6 +30,8 @@
 	wake   chan order
 	cancel context.CancelFunc
 	answer dfumessage.Answer
+	// failure is why the target gave no whole answer, or nil.
+	failure error
 	// granted says that the claim must be finished or released.
 	granted bool
 }
@@ -137,9 +139,15 @@
 	}
 	if outcome != dfuoutcome.Answered {
 		d.refused[reason]++
-		d.deps.Log.Info("request not answered", zap.Stringer("request_id", id),
+		load := d.deps.Machine.Load()
+		d.deps.Log.Info("request not answered", zap.String("caller_request", r.offer.CallerRequest),
+			zap.Stringer("request_id", id),
 			zap.String("service", string(r.event.Service)),
-			zap.String("outcome", string(outcome)), zap.String("reason", string(reason)))
+			zap.String("outcome", string(outcome)), zap.String("reason", string(reason)),
+			zap.Stringer("held", d.deps.Clock.Now().Sub(r.arrived)),
+			zap.Uint16("running", load.InFlight), zap.Uint16("waiting", load.Queued), zap.Uint16("slots", load.Slots),
+			zap.Uint16("slowdown_percent", load.Slowdown), zap.Stringer("service_time", load.ServiceTime),
+			zap.Error(r.failure))
 	}
 	r.wake <- order{reply: reply}
 }
--- a/io/request/dfuadmission/target.go
+++ b/io/request/dfuadmission/target.go
@@ -24,6 +24,7 @@
 // handOver orders the goroutine of an offer to run it on the target.
 func (d *Duty) handOver(a dfugate.RunOnTarget) {
 	r := d.pending[a.ID]
+	d.deps.Times.Record("gate.wait", d.deps.Clock.Now().Sub(r.arrived))
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
 	d.running[r.offer.CallerRequest]++
@@ -55,12 +56,15 @@
 // runOnTarget runs an offer on the target and reports its end.
 func (d *Duty) runOnTarget(r *run, o order) {
 	defer r.cancel()
+	handed := d.deps.Clock.Now()
 	var result dfutarget.Result
 	var event dfugate.Event = dfugate.TargetFailed{ID: r.offer.ID, Refused: true}
 	crashed := false
+	var failure error
 	if o.client != nil {
 		var err error
 		result, err = o.client.Run(o.ctx, r.offer, o.remaining)
+		failure = err
 		switch dfutarget.Classify(result, err) {
 		case dfutarget.EndAnswered:
 			event = dfugate.TargetDone{ID: r.offer.ID, Failed: result.Answer.BlamesTarget()}
@@ -72,10 +76,12 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.deps.Times.Record("gate.run", d.deps.Clock.Now().Sub(handed))
 	if d.running[r.offer.CallerRequest]--; d.running[r.offer.CallerRequest] <= 0 {
 		delete(d.running, r.offer.CallerRequest)
 	}
 	r.answer = result.Answer
+	r.failure = failure
 	if result.Remark.Load != nil {
 		d.step(dfugate.TargetTold{Load: *result.Remark.Load})
 	}
--- a/io/request/dfudispatch/duty.go
+++ b/io/request/dfudispatch/duty.go
@@ -9,6 +9,7 @@
 	"dragonflyusher/core/connection/dfuchoice"
 	"dragonflyusher/core/process/dfubudget"
 	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuhistogram"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/request/dfuattempt"
 	"dragonflyusher/core/request/dfuoutcome"
@@ -51,6 +52,7 @@
 	Clock   dfuclock.Clock
 	Log     *zap.Logger
 	Metrics metrics.Registry
+	Times   *dfuhistogram.Set
 	Tracer  *dfutrace.Tracer
 	Gates   Gates
 	Owners  Owners
--- a/io/request/dfudispatch/serve.go
+++ b/io/request/dfudispatch/serve.go
@@ -1,6 +1,8 @@
 package dfudispatch
 
 import (
+	"cmp"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -8,9 +10,11 @@
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/request/dfuattempt"
 	"dragonflyusher/core/request/dfuoutcome"
+	"dragonflyusher/core/version/dfuroute"
 	"dragonflyusher/io/connection/dfufront"
 	"dragonflyusher/io/request/dfumessage"
 
+	"github.com/rcrowley/go-metrics"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
@@ -48,13 +52,14 @@
 
 // Serve implements dfufront.Entry.
 func (d *Duty) Serve(call dfufront.Call, watch func(gone func()) (stop func())) dfufront.Result {
+	began := d.deps.Clock.Now()
 	span, traceparent := d.deps.Tracer.Start(call.Traceparent, "entry")
 	call.Traceparent = traceparent
 	c := &caller{duty: d, gone: make(chan struct{})}
 	stop := watch(c.leave)
-	result := d.serve(call, c)
+	result := d.serve(&call, c)
 	stop()
-	d.finished(call, span, result)
+	d.finished(call, began, span, result)
 	return result
 }
 
@@ -72,8 +77,8 @@
 }
 
 // serve tries the call, and tries it again while no node can take it just now.
-func (d *Duty) serve(call dfufront.Call, c *caller) dfufront.Result {
-	if refused := d.route(&call); refused != nil {
+func (d *Duty) serve(call *dfufront.Call, c *caller) dfufront.Result {
+	if refused := d.route(call); refused != nil {
 		return *refused
 	}
 	began := d.deps.Clock.Now()
@@ -81,11 +86,11 @@
 	var repeat dfuattempt.Repeat
 	attempts := 0
 	for {
-		result := d.try(call, c)
+		result := d.try(*call, c)
 		attempts += result.Attempts
 		result.Attempts = attempts
 		call.Remaining = deadline.Sub(d.deps.Clock.Now())
-		wait, again := repeat.After(result.Outcome, result.Reason, patience(call, d.deps.Clock.Now().Sub(began)))
+		wait, again := repeat.After(result.Outcome, result.Reason, patience(*call, d.deps.Clock.Now().Sub(began)))
 		if !again {
 			return result
 		}
@@ -132,21 +137,54 @@
 }
 
 // finished counts, logs and traces the outcome of a call.
-func (d *Duty) finished(call dfufront.Call, span trace.Span, result dfufront.Result) {
+func (d *Duty) finished(call dfufront.Call, began dfuclock.Time, span trace.Span, result dfufront.Result) {
 	d.outcomes[result.Outcome].Inc(1)
+	took := d.deps.Clock.Now().Sub(began)
+	kind := kindName(call.Route)
+	reason := cmp.Or(string(result.Reason), "none")
+	metrics.GetOrRegisterCounter("entry.requests."+kind+"."+string(result.Outcome)+"."+reason, d.deps.Metrics).Inc(1)
+	metrics.GetOrRegisterCounter("entry.attempts."+strconv.Itoa(min(result.Attempts, maxAttemptsCounted)), d.deps.Metrics).Inc(1)
+	d.deps.Times.Record("entry.time."+kind+"."+string(result.Outcome), took)
 	span.SetAttributes(
-		attribute.String("service", string(call.Service)),
+		attribute.String("service", string(result.Service)),
 		attribute.String("outcome", string(result.Outcome)),
 		attribute.String("reason", string(result.Reason)),
 		attribute.Int("attempts", result.Attempts),
 	)
 	span.End()
-	if result.Outcome != dfuoutcome.Answered {
-		d.deps.Log.Info("request finished", zap.Stringer("request_id", result.ID),
-			zap.String("service", string(call.Service)),
-			zap.String("outcome", string(result.Outcome)), zap.String("reason", string(result.Reason)),
-			zap.Int("attempts", result.Attempts))
+	if result.Outcome == dfuoutcome.Answered && !result.Answer.BlamesTarget() {
+		return
+	}
+	fields := []zap.Field{
+		zap.String("caller_request", call.CallerRequest),
+		zap.Stringer("request_id", result.ID),
+		zap.String("service", string(result.Service)),
+		zap.String("outcome", string(result.Outcome)),
+		zap.String("reason", string(result.Reason)),
+		zap.String("detail", result.Detail),
+		zap.Int("status", result.Answer.Status),
+		zap.String("target", string(result.Target)),
+		zap.Int("attempts", result.Attempts),
+		zap.Stringer("took", took),
+		zap.Stringer("deadline", call.Remaining),
+		zap.Stringer("retry_after", result.RetryAfter),
+	}
+	if table := d.view.Load().Routes(); table != nil {
+		fields = append(fields, zap.Uint64("routes_version", uint64(table.Version)))
+	}
+	d.deps.Log.Info("request finished", fields...)
+}
+
+// maxAttemptsCounted is the number of attempts from which requests are counted
+// together.
+const maxAttemptsCounted = 9
+
+// kindName names the kind of a route's requests.
+func kindName(r *dfuroute.Route) string {
+	if r == nil {
+		return "unrouted"
 	}
+	return r.Kind.String()
 }
 
 // arrive steps the machine with a call and returns its first attempt, if the
@@ -174,7 +212,7 @@
 		return
 	}
 	delete(d.waiting, a.Request)
-	result := dfufront.Result{Outcome: a.Outcome, Reason: a.Reason, ID: a.ID, Attempts: a.Attempts}
+	result := dfufront.Result{Outcome: a.Outcome, Reason: a.Reason, ID: a.ID, Attempts: a.Attempts, Service: r.call.Service}
 	if last := len(r.sent) - 1; last >= 0 && a.Outcome != dfuoutcome.Answered {
 		result.ID = r.sent[last]
 	}
