io/process/dfuoperator: explain a request from the logs of many nodes

dragonflyusher explain ID FILE... shows the lines that name a caller's request and its attempts, as text with the time since the first, or as JSON.

--- a/core/request/dfugate/objective.go
+++ b/core/request/dfugate/objective.go
@@ -35,9 +35,9 @@
 	e.Add(float64(max(d, dfuclock.Millisecond)), typicalQuantile)
 }
 
-// typical returns how long a run of a kind takes without disturbance, or zero
+// Typical returns how long a run of a kind takes without disturbance, or zero
 // while nothing is known.
-func (m *Machine) typical(kind dfuident.Kind) dfuclock.Duration {
+func (m *Machine) Typical(kind dfuident.Kind) dfuclock.Duration {
 	if e := m.kinds[kind]; e != nil {
 		return dfuclock.Duration(e.Value())
 	}
@@ -47,7 +47,7 @@
 // isTimely reports whether a request that began now could be answered within its
 // objective, or is waited for by a running one.
 func (m *Machine) isTimely(now dfuclock.Time, r *record) bool {
-	return r.nested || r.objective > 0 && !r.objective.Before(now.Add(m.typical(r.kind)))
+	return r.nested || r.objective > 0 && !r.objective.Before(now.Add(m.Typical(r.kind)))
 }
 
 // missesObjective reports whether a request would have to wait and would
@@ -57,7 +57,7 @@
 	if r.objective == 0 || r.nested || slots == 0 || len(m.running)+m.waiting() < slots {
 		return false
 	}
-	return r.objective.Before(now.Add(m.wait(r) + m.typical(r.kind)))
+	return r.objective.Before(now.Add(m.wait(r) + m.Typical(r.kind)))
 }
 
 // shedLate refuses requests that can no longer make their objective while many
--- a/io/process/dfuoperator/operator.go
+++ b/io/process/dfuoperator/operator.go
@@ -72,6 +72,7 @@
 		{"drain", "ask a node to drain its target", &drainCommand{}},
 		{"status", "show nodes and which of them lag behind", &statusCommand{}},
 		{"trace", "show the way of one request", &traceCommand{}},
+		{"explain", "show what logs tell of one request", &explainCommand{}},
 	}
 }
 
--- a/io/request/dfuadmission/offer.go
+++ b/io/request/dfuadmission/offer.go
@@ -24,7 +24,9 @@
 	offer   *dfumessage.Offer
 	event   dfugate.Offer
 	arrived dfuclock.Time
-	span    trace.Span
+	// handed is when the request was handed to the target.
+	handed dfuclock.Time
+	span   trace.Span
 	// wake gets what the waiting goroutine is to do next. The machine orders
 	// one hand-over and gives one reply, so two places are enough.
 	wake   chan order
@@ -149,9 +151,30 @@
 			zap.Uint16("slowdown_percent", load.Slowdown), zap.Stringer("service_time", load.ServiceTime),
 			zap.Error(r.failure))
 	}
+	if outcome == dfuoutcome.Answered {
+		d.noteSlow(r, id)
+	}
 	r.wake <- order{reply: reply}
 }
 
+// slowFactor is how many times its usual time a run takes that is worth a line.
+const slowFactor = 3
+
+// noteSlow logs a run that took long.
+func (d *Duty) noteSlow(r *run, id dfuident.RequestID) {
+	took := d.deps.Clock.Now().Sub(r.handed)
+	usual := d.deps.Machine.Typical(r.offer.Kind)
+	if r.offer.Kind == 0 || usual == 0 || took < slowFactor*usual {
+		return
+	}
+	load := d.deps.Machine.Load()
+	d.deps.Log.Info("run took long", zap.String("caller_request", r.offer.CallerRequest),
+		zap.Stringer("request_id", id), zap.String("service", string(r.event.Service)),
+		zap.Stringer("took", took), zap.Stringer("usual", usual), zap.Stringer("waited", r.handed.Sub(r.arrived)),
+		zap.Uint16("running", load.InFlight), zap.Uint16("slots", load.Slots),
+		zap.Uint16("slowdown_percent", load.Slowdown))
+}
+
 func (d *Duty) answerSeal(a dfugate.SealAnswer) {
 	reply := &dfumessage.SealReply{ID: a.ID, State: sealState(a.State)}
 	if reply.State == dfumessage.SealFinished {
--- a/io/request/dfuadmission/target.go
+++ b/io/request/dfuadmission/target.go
@@ -24,7 +24,8 @@
 // handOver orders the goroutine of an offer to run it on the target.
 func (d *Duty) handOver(a dfugate.RunOnTarget) {
 	r := d.pending[a.ID]
-	d.deps.Times.Record("gate.wait", d.deps.Clock.Now().Sub(r.arrived))
+	r.handed = d.deps.Clock.Now()
+	d.deps.Times.Record("gate.wait", r.handed.Sub(r.arrived))
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
 	d.running[r.offer.CallerRequest]++
--- a/io/request/dfudispatch/serve.go
+++ b/io/request/dfudispatch/serve.go
@@ -152,8 +152,12 @@
 		attribute.Int("attempts", result.Attempts),
 	)
 	span.End()
+	message := "request finished"
 	if result.Outcome == dfuoutcome.Answered && !result.Answer.BlamesTarget() {
-		return
+		if call.Route == nil || took <= call.Route.TargetLatency {
+			return
+		}
+		message = "request late"
 	}
 	fields := []zap.Field{
 		zap.String("caller_request", call.CallerRequest),
@@ -172,7 +176,7 @@
 	if table := d.view.Load().Routes(); table != nil {
 		fields = append(fields, zap.Uint64("routes_version", uint64(table.Version)))
 	}
-	d.deps.Log.Info("request finished", fields...)
+	d.deps.Log.Info(message, fields...)
 }
 
 // maxAttemptsCounted is the number of attempts from which requests are counted
