core/connection/dfuchoice: let a request wait when every target refused it

Cause: Choose left out the targets that had refused a request before it asked the policy, so a request that every target had refused a free slot ended as not run, with most of its time left, in place of waiting. At services of 3 or 4 targets nearly all refused calls of running requests ended so (317 of 361 after three attempts), and each failed the request that waited for it. Ruled out: the retry budget (looking is free), health (no target was ejected). Change: the policy that prices targets decides itself which are left.

--- a/core/connection/dfuchoice/chooser.go
+++ b/core/connection/dfuchoice/chooser.go
@@ -176,6 +176,10 @@
 	if state == nil {
 		return Choice{}, false
 	}
+	if _, ok := c.settings.Policy.(Paced); ok {
+		// Targets that have refused the request take part, to wait there.
+		return c.byPace(now, q, state)
+	}
 	candidates := make([]*targetState, 0, len(state.targets))
 	for _, t := range state.targets {
 		if !t.target.Draining && !slices.Contains(q.Excluded, t.target.Member.Node) {
@@ -201,8 +205,6 @@
 		return c.byResponse(now, q, state, candidates, 2), true
 	case LateBinding:
 		return c.byResponse(now, q, state, candidates, policy.Draws), true
-	case Paced:
-		return c.byPace(now, q, state)
 	}
 	return Choice{}, false
 }
