core/connection/dfuchoice: ask full targets across the link less and less

Cause: under overload every request asked each target of the other region for a free slot. Ruled out: answers' bytes (6 of 30 MB) and control traffic. Change: a target in another region is expected to have room with a chance that falls with each refusal in a row and comes back with time (backoff from 25 ms to 4 s); the price of an offer in vain is divided by it, and below a fifth it isn't asked.

--- a/core/connection/dfuchoice/paced.go
+++ b/core/connection/dfuchoice/paced.go
@@ -79,6 +79,11 @@
 	least := 0.0
 	for _, t := range c.draw(usable, len(usable)) {
 		cost, inTime := c.pacedCost(now, q, state, t)
+		if t.target.Place.Region != q.From.Region {
+			chance := t.room.chance(now)
+			inTime = inTime && chance >= farChance
+			cost += c.lossInVain(q, t) * (1/chance - 1)
+		}
 		if inTime && (best == nil || cost < least) {
 			best, least = t, cost
 		}
@@ -133,6 +138,18 @@
 	return cost, inTime
 }
 
+// lossInVain returns the loss by an offer that is refused: its bytes and the time
+// that it takes. Divided by the chance of room it is what a try costs until one is
+// let in, as in the optimal search for an alternative by reservation prices.
+func (c *Chooser) lossInVain(q Query, t *targetState) float64 {
+	perMillisecond := lossPerMillisecond
+	if q.Nested {
+		perMillisecond = nestedLossPerMillisecond
+	}
+	return c.bytesPrice(q, float64(q.Body)+framingBytes, t)/cmp.Or(q.Weight, 1) +
+		perMillisecond*t.networkTime(q.From, c.settings.Delays)
+}
+
 // bytesPrice returns what the bytes to a target and back are worth, in answers
 // that miss their objective.
 func (c *Chooser) bytesPrice(q Query, bytes float64, t *targetState) float64 {
--- a/core/connection/dfuchoice/target.go
+++ b/core/connection/dfuchoice/target.go
@@ -52,7 +52,9 @@
 	// usual is a slow moving average of the reported service time.
 	usual float64
 	// pace is what is known of how fast the target works.
-	pace   pace
+	pace pace
+	// room is what is known of whether the target lets requests in.
+	room   room
 	health health
 	// returned is when the target ended its last probation.
 	returned dfuclock.Time
@@ -95,6 +97,7 @@
 		t.observedAt = now
 	}
 	t.noteHealth(now, f.Kind)
+	t.room.note(now, f)
 }
 
 // noteFull takes a refusal without a load: the slots are full, and what a load
