core/request/dfureturn: count the objective from the caller's first try

Cause: a caller that was refused and came back was known by having less left than 0.8 of the route's timeout. Operators change timeouts: with 1,200 ms in place of the 2,000 ms that callers wait, four returned orders of five counted as first tries with their whole objective. Ruled out: the callers' own clocks (they tell what is left, not when). Change: each route's longest deadline is learned; what a request has less than first tries have left, it has waited (core/request/dfureturn, with a property). The objective is what then remains. Who has none left takes a free slot but no place in a queue, so that it is told at once. Users: an answer within the objective goes to those that can still get one, others know at once.

--- /dev/null
+++ b/core/request/dfureturn/deadlines_test.go
@@ -0,0 +1,66 @@
+package dfureturn_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/request/dfureturn"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestFirstTriesHaveNotWaited(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		d := dfureturn.New[string]()
+		deadline := rapid.IntRange(100, 10_000).Draw(t, "deadline")
+		shares := rapid.SliceOfN(rapid.IntRange(86, 100), 1, 50).Draw(t, "shares")
+		is.Equal(d.Waited(0, "lookup", dfuclock.Duration(deadline)), dfuclock.Duration(0))
+		for i, share := range shares {
+			now := dfuclock.Time(i * 100)
+			is.Equal(d.Waited(now, "lookup", dfuclock.Duration(deadline*share/100)), dfuclock.Duration(0))
+		}
+	})
+}
+
+// TestReturns compares the estimate with what callers with a deadline of 1500 ms
+// have waited in fact, on their first and on a second try.
+func TestReturns(t *testing.T) {
+	is := is.New(t)
+	d := dfureturn.New[string]()
+	rng := rand.New(rand.NewPCG(7, 7))
+	const deadline, tolerance = 1500, 1500 * 15 / 100
+	for i := range 500 {
+		now := dfuclock.Time(i * 20)
+		first := deadline * (85 + rng.IntN(16)) / 100
+		d.Waited(now, "lookup", dfuclock.Duration(first))
+		if i < 20 {
+			continue
+		}
+		passed := 250 + rng.IntN(300)
+		waited := int(d.Waited(now, "lookup", dfuclock.Duration(first-passed)))
+		is.True(waited > passed-tolerance) // waited for at least
+		is.True(waited < passed+tolerance) // waited for at most
+	}
+}
+
+func TestRoutesAreApart(t *testing.T) {
+	is := is.New(t)
+	d := dfureturn.New[string]()
+	is.Equal(d.Waited(0, "order", 2000), dfuclock.Duration(0))
+	is.Equal(d.Waited(1, "lookup", 600), dfuclock.Duration(0))
+	is.Equal(d.Waited(2, "order", 1000), dfuclock.Duration(850))
+}
+
+// TestShorterDeadlines sees to it that callers that changed their deadline count as
+// returned for a limited time only.
+func TestShorterDeadlines(t *testing.T) {
+	is := is.New(t)
+	d := dfureturn.New[string]()
+	d.Waited(0, "lookup", 3000)
+	is.True(d.Waited(29_000, "lookup", 1000) > 0)
+	d.Waited(31_000, "lookup", 1000)
+	is.Equal(d.Waited(61_000, "lookup", 1000), dfuclock.Duration(0))
+}
--- a/io/connection/dfufront/front.go
+++ b/io/connection/dfufront/front.go
@@ -28,8 +28,9 @@
 	// ParentRequest is the caller's own id of the request that this one was
 	// probably made for; empty if it tells none.
 	ParentRequest string
-	// Returned says that the caller has probably tried before.
-	Returned bool
+	// Waited is for how long the caller has probably been waiting, on earlier
+	// tries too.
+	Waited dfuclock.Duration
 	// Route is the route that chose Service, or nil.
 	Route       *dfuroute.Route
 	Caller      dfuident.Caller
--- a/io/request/dfudispatch/admit.go
+++ b/io/request/dfudispatch/admit.go
@@ -34,27 +34,31 @@
 	}
 	call.Service = r.Pick(d.deps.Rand())
 	call.Route = r
-	call.Returned = call.Remaining*100 < r.Timeout*firstSharePercent
+	call.Waited = d.waited(*call)
 	call.Remaining = min(call.Remaining, r.Timeout)
 	return nil
 }
 
-const (
-	// firstSharePercent is the share of a route's timeout that callers leave to
-	// their first try; less is left to one that comes back.
-	firstSharePercent = 80
-	// objectiveReserve is taken off the target latency for the way of the answer
-	// to the caller.
-	objectiveReserve = 10 * dfuclock.Millisecond
-)
-
-// objective returns the time within which a call is to be answered, or zero if
-// its caller has been waiting for too long already.
-func objective(call dfufront.Call) dfuclock.Duration {
-	if call.Returned {
+// waited returns for how long the caller of a call has probably been waiting. What a
+// running request waits for has that one's deadline, which says nothing.
+func (d *Duty) waited(call dfufront.Call) dfuclock.Duration {
+	if call.ParentRequest != "" {
 		return 0
 	}
-	return max(0, call.Route.TargetLatency-objectiveReserve)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.deadlines.Waited(d.deps.Clock.Now(), call.Route.Name, call.Remaining)
+}
+
+// objectiveReserve is taken off the target latency for the way of the answer to the
+// caller.
+const objectiveReserve = 10 * dfuclock.Millisecond
+
+// objective returns the time within which a call is to be answered. One whose caller
+// has been waiting for too long already has next to none, so that it takes a free
+// slot but nobody's place in a queue.
+func objective(call dfufront.Call) dfuclock.Duration {
+	return max(dfuclock.Millisecond, call.Route.TargetLatency-objectiveReserve-call.Waited)
 }
 
 // admit checks a call against the catalogue and returns the request that the
--- a/io/request/dfudispatch/duty.go
+++ b/io/request/dfudispatch/duty.go
@@ -13,6 +13,7 @@
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/request/dfuattempt"
 	"dragonflyusher/core/request/dfuoutcome"
+	"dragonflyusher/core/request/dfureturn"
 	"dragonflyusher/core/version/dfuroster"
 	"dragonflyusher/io/connection/dfufront"
 	"dragonflyusher/io/request/dfumessage"
@@ -87,7 +88,9 @@
 	waiting  map[dfuattempt.RequestNumber]*request
 	attempts map[dfuident.RequestID]*attempt
 	known    *dfuroster.View
-	services map[dfuident.Service]struct{}
+	// deadlines tells which callers have tried before.
+	deadlines *dfureturn.Deadlines[string]
+	services  map[dfuident.Service]struct{}
 	// current is the call whose goroutine steps the machine, which takes its
 	// own attempt rather than starting a goroutine for it.
 	current *request
@@ -100,6 +103,7 @@
 		waiting:   map[dfuattempt.RequestNumber]*request{},
 		attempts:  map[dfuident.RequestID]*attempt{},
 		known:     dfuroster.New(),
+		deadlines: dfureturn.New[string](),
 		services:  map[dfuident.Service]struct{}{},
 		outcomes:  map[dfuoutcome.Outcome]metrics.Counter{},
 		ejections: metrics.GetOrRegisterCounter("entry.ejections", deps.Metrics),
--- a/io/request/dfudispatch/serve.go
+++ b/io/request/dfudispatch/serve.go
@@ -83,14 +83,16 @@
 	}
 	began := d.deps.Clock.Now()
 	deadline := began.Add(call.Remaining)
+	waited := call.Waited
 	var repeat dfuattempt.Repeat
 	attempts := 0
 	for {
 		result := d.try(*call, c)
 		attempts += result.Attempts
 		result.Attempts = attempts
-		call.Remaining = deadline.Sub(d.deps.Clock.Now())
-		wait, again := repeat.After(result.Outcome, result.Reason, patience(*call, d.deps.Clock.Now().Sub(began)))
+		now := d.deps.Clock.Now()
+		call.Remaining = deadline.Sub(now)
+		wait, again := repeat.After(result.Outcome, result.Reason, patience(*call, now.Sub(began)))
 		if !again {
 			return result
 		}
@@ -99,7 +101,9 @@
 		case <-c.gone:
 			return result
 		}
-		call.Remaining -= wait
+		now = d.deps.Clock.Now()
+		call.Remaining = deadline.Sub(now)
+		call.Waited = waited + now.Sub(began)
 	}
 }
 
