core/connection/dfuchoice: take a cold target rather than none

Cause: of cold targets a growing share of requests takes part. Where only a full target of the other region was left besides, a request that the slow start left out was given up. Ruled out: joining (all nodes had joined 0.4 s after power was back), routes, the retry budget. Change: a second look takes the healthy targets that the slow start left out.

--- a/core/connection/dfuchoice/paced.go
+++ b/core/connection/dfuchoice/paced.go
@@ -75,9 +75,28 @@
 	if reason == ReasonProbation {
 		return Choice{Member: usable[0].target.Member, Reason: reason}, true
 	}
+	best := c.cheapestPaced(now, q, state, usable)
+	if best == nil {
+		// A cold target is better than none.
+		best = c.cheapestPaced(now, q, state, notEjected(now, candidates))
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	choice := plainChoice(q, best)
+	choice.Wait = slices.Contains(q.Refused, best.target.Member.Node)
+	if reason != "" {
+		choice.Reason = reason
+	}
+	return choice, true
+}
+
+// cheapestPaced returns the target of the least cost among those that can answer in
+// time, or nil.
+func (c *Chooser) cheapestPaced(now dfuclock.Time, q Query, state *serviceState, targets []*targetState) *targetState {
 	var best *targetState
 	least := 0.0
-	for _, t := range c.draw(usable, len(usable)) {
+	for _, t := range c.draw(targets, len(targets)) {
 		cost, inTime := c.pacedCost(now, q, state, t)
 		if t.target.Place.Region != q.From.Region {
 			chance := t.room.chance(now)
@@ -88,15 +107,18 @@
 			best, least = t, cost
 		}
 	}
-	if best == nil {
-		return Choice{}, false
-	}
-	choice := plainChoice(q, best)
-	choice.Wait = slices.Contains(q.Refused, best.target.Member.Node)
-	if reason != "" {
-		choice.Reason = reason
+	return best
+}
+
+// notEjected returns the targets that are not ejected.
+func notEjected(now dfuclock.Time, targets []*targetState) []*targetState {
+	var kept []*targetState
+	for _, t := range targets {
+		if !t.health.isEjected(now) {
+			kept = append(kept, t)
+		}
 	}
-	return choice, true
+	return kept
 }
 
 // rulesOut reports whether the request must not go to a node again: it failed
