core/request/dfugate: compare a target's pace with its own pace of late

Cause: a target that tells twice the usual time of work counted as slow, so that requests that look for a free slot were refused. After its start a target is that slow for seconds, and after a loss of power or a release all of them are: every look was in vain then (1,150 of 1,340 refusals in 2 s told 200 or 1,000 percent). Ruled out: neighbors (500 percent of 100; here the least was 200), the slow start. Change: slow is twice the least slowdown that the target told within the last one to two seconds.

--- a/core/request/dfugate/pace.go
+++ b/core/request/dfugate/pace.go
@@ -15,6 +15,9 @@
 	// slowPercent is the time of work, in percent of the usual, from which a
 	// target counts as slow.
 	slowPercent = 200
+	// baseSpan is how long the least slowdown that was told counts at least as the
+	// target's own pace: several times as long as a spell of 150 ms.
+	baseSpan = dfuclock.Second
 	// usualPercent is the time of work at the usual pace.
 	usualPercent = 100
 )
@@ -28,6 +31,10 @@
 	// done is the work that a run would have done until at, with the pace that
 	// was told.
 	done workTime
+	// least and leastBefore are the least slowdowns told in the present and in
+	// the former span of baseSpan, spanBegan is when the present one began.
+	least, leastBefore int
+	spanBegan          dfuclock.Time
 	// asked says that the target has been asked and has not answered yet.
 	asked bool
 }
@@ -55,9 +62,32 @@
 	return p.done + passed*usualPercent/workTime(p.slowdown)
 }
 
-// slow reports whether the target was slow when it told its pace.
+// slow reports whether the target was slow when it told its pace, compared with its
+// own pace of late: one that has just started is slow all the time, and turning away
+// all that could go elsewhere would help nobody.
 func (p *pace) slow() bool {
-	return p.slowdown >= slowPercent
+	return p.slowdown >= slowPercent*max(p.base(), usualPercent)/usualPercent
+}
+
+// base returns the least slowdown told lately.
+func (p *pace) base() int {
+	if p.leastBefore > 0 {
+		return min(p.least, p.leastBefore)
+	}
+	return p.least
+}
+
+// note takes what the target told.
+func (p *pace) note(now dfuclock.Time, slowdown int) {
+	p.told = true
+	p.done = p.work(now)
+	p.slowdown = slowdown
+	p.at = now
+	if p.least == 0 || now.Sub(p.spanBegan) >= baseSpan {
+		p.leastBefore, p.least = p.least, slowdown
+		p.spanBegan = now
+	}
+	p.least = min(p.least, slowdown)
 }
 
 // enqueueOnceTold lets a request in that looks for a target with a free slot. If
@@ -81,10 +111,7 @@
 func (m *Machine) targetTold(now dfuclock.Time, load TargetLoad) {
 	m.pace.asked = false
 	if load.Slowdown > 0 && !m.cfg.IgnorePace {
-		m.pace.told = true
-		m.pace.done = m.pace.work(now)
-		m.pace.slowdown = load.Slowdown
-		m.pace.at = now
+		m.pace.note(now, load.Slowdown)
 	}
 	if !m.pace.slow() {
 		m.targetSilent()
