core/request/dfugate: let wait only what most runs would answer in time

Cause: a request was let into the queue if a run without disturbance would make its objective after the wait. A third of the runs meets a neighbor's spell; of those that began with no time to spare, most of these came late, in slots that others waited for. Change: what has to wait must have the 0.75 quantile of its kind's runs left after the wait. Users: a slot goes to a request that can still be answered in time; the others know at once and turn elsewhere.

--- a/core/request/dfugate/load_test.go
+++ b/core/request/dfugate/load_test.go
@@ -178,3 +178,27 @@
 		is.True(after >= 2*before)
 	}
 }
+
+// Admission control by a high quantile: where neighbors disturb the target, the gate
+// that lets a request wait only if most runs would make its objective answers more
+// of them within the time wanted than the earlier one, which went by the time of a
+// run without disturbance.
+func TestCautiousAdmission(t *testing.T) {
+	const length = 60_000
+	before, after := 0, 0
+	for seed := range uint64(5) {
+		inTime := func(quantile float64) int {
+			cfg := dfugate.DefaultConfig()
+			cfg.AdmitQuantile = quantile
+			_, n := overload(cfg, &simulatedTarget{
+				neighbors: rand.New(rand.NewPCG(seed, 1)), work: rand.New(rand.NewPCG(seed, 2)),
+				slots: 9, knee: 1, disturbed: 0.35,
+			}, length, wanted)
+			return n
+		}
+		b, a := inTime(0.3), inTime(dfugate.DefaultConfig().AdmitQuantile)
+		t.Logf("seed %d: %d in time by the typical run, %d by the slower ones", seed, b, a)
+		before, after = before+b, after+a
+	}
+	is.New(t).True(after > before)
+}
--- a/core/request/dfugate/machine.go
+++ b/core/request/dfugate/machine.go
@@ -4,7 +4,6 @@
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuheap"
 	"dragonflyusher/core/process/dfuident"
-	"dragonflyusher/core/process/dfuquantile"
 	"dragonflyusher/core/request/dfucrash"
 	"dragonflyusher/core/request/dfuoutcome"
 )
@@ -21,6 +20,9 @@
 	// the target may have broken because of it.
 	CrashWindow dfuclock.Duration
 	Crash       dfucrash.Config
+	// AdmitQuantile is the quantile of the times of a kind's runs that a request
+	// which has to wait must have left within its objective.
+	AdmitQuantile float64
 	// AllSlots keeps the gate using all slots of a target that slows down when
 	// it is nearly full, and IgnorePace lets requests in however slow the target
 	// is. Measurements compare with them.
@@ -28,6 +30,10 @@
 	IgnorePace bool
 }
 
+// admitQuantile leaves out the slowest quarter of the runs: neighbors disturb a third
+// of them, most of these not for long.
+const admitQuantile = 0.75
+
 // DefaultConfig returns the bounds used by a node.
 func DefaultConfig() Config {
 	return Config{
@@ -36,6 +42,8 @@
 		EntriesMax:  4096,
 		CrashWindow: dfuclock.Second,
 		Crash:       dfucrash.DefaultConfig(),
+
+		AdmitQuantile: admitQuantile,
 	}
 }
 
@@ -62,7 +70,7 @@
 	rate    rateLimit
 	target  target
 	service serviceTime
-	kinds   map[dfuident.Kind]*dfuquantile.Estimate
+	kinds   map[dfuident.Kind]*runTimes
 	pace    pace
 	full    fullness
 	// now is the time of the present step.
@@ -158,7 +166,7 @@
 		crash:    dfucrash.New(cfg.Crash),
 		live:     make(map[dfuident.RequestID]*record),
 		unwanted: make(map[dfuident.RequestID]ReleaseClaim),
-		kinds:    make(map[dfuident.Kind]*dfuquantile.Estimate),
+		kinds:    make(map[dfuident.Kind]*runTimes),
 		queue:    newQueue(),
 		timers:   newTimers(),
 		ledger:   newLedger(cfg.VerdictsMax, cfg.EntriesMax),
--- a/core/request/dfugate/objective.go
+++ b/core/request/dfugate/objective.go
@@ -22,24 +22,40 @@
 	lateShare = 50
 )
 
+// runTimes follows how long the runs of a kind take.
+type runTimes struct {
+	typical, cautious dfuquantile.Estimate
+}
+
 // noteTime learns how long a run of a kind took.
 func (m *Machine) noteTime(kind dfuident.Kind, d dfuclock.Duration) {
-	e := m.kinds[kind]
-	if e == nil {
+	t := m.kinds[kind]
+	if t == nil {
 		if len(m.kinds) >= typicalKinds {
 			return
 		}
-		e = &dfuquantile.Estimate{}
-		m.kinds[kind] = e
+		t = &runTimes{}
+		m.kinds[kind] = t
 	}
-	e.Add(float64(max(d, dfuclock.Millisecond)), typicalQuantile)
+	took := float64(max(d, dfuclock.Millisecond))
+	t.typical.Add(took, typicalQuantile)
+	t.cautious.Add(took, m.cfg.AdmitQuantile)
 }
 
 // Typical returns how long a run of a kind takes without disturbance, or zero
 // while nothing is known.
 func (m *Machine) Typical(kind dfuident.Kind) dfuclock.Duration {
-	if e := m.kinds[kind]; e != nil {
-		return dfuclock.Duration(e.Value())
+	if t := m.kinds[kind]; t != nil {
+		return dfuclock.Duration(t.typical.Value())
+	}
+	return 0
+}
+
+// cautious returns how long a run of a kind takes with the disturbances that most
+// runs meet, or zero while nothing is known.
+func (m *Machine) cautious(kind dfuident.Kind) dfuclock.Duration {
+	if t := m.kinds[kind]; t != nil {
+		return dfuclock.Duration(t.cautious.Value())
 	}
 	return 0
 }
@@ -50,14 +66,15 @@
 	return r.nested || r.objective > 0 && !r.objective.Before(now.Add(m.Typical(r.kind)))
 }
 
-// missesObjective reports whether a request would have to wait and would
-// probably miss its objective.
+// missesObjective reports whether a request would have to wait and might well miss
+// its objective then. Where requests wait, slots are scarce, and another one that
+// comes has more time left to be disturbed in.
 func (m *Machine) missesObjective(now dfuclock.Time, r *record) bool {
 	slots := m.slots()
 	if r.objective == 0 || r.nested || slots == 0 || len(m.running)+m.waiting() < slots {
 		return false
 	}
-	return r.objective.Before(now.Add(m.wait(r) + m.Typical(r.kind)))
+	return r.objective.Before(now.Add(m.wait(r) + m.cautious(r.kind)))
 }
 
 // shedLate refuses requests that can no longer make their objective while many
