core/request/dfugate: expect a request to run as long as others of its kind

Cause: whether a request can be done by its deadline was judged by the mean of all runs. Ruled out: the wait in the queue (they go first). Change: the time of runs of the same kind, the mean of all only while none is known.

--- a/core/request/dfugate/dispatch.go
+++ b/core/request/dfugate/dispatch.go
@@ -48,7 +48,7 @@
 // that another one waits for. The last one waiting always runs, so that a wrong
 // mean corrects itself.
 func (m *Machine) hopeless(now dfuclock.Time, r *record) bool {
-	return m.queue.length > 1 && r.deadline.Sub(now) < m.service.mean()
+	return m.queue.length > 1 && r.deadline.Sub(now) < m.runTime(r)
 }
 
 func (m *Machine) suspectRunning(now dfuclock.Time) bool {
--- a/core/request/dfugate/objective.go
+++ b/core/request/dfugate/objective.go
@@ -51,6 +51,16 @@
 	return 0
 }
 
+// runTime returns how long the request is expected to run: as others of its kind, or
+// as all others while none of its kind has run. Targets serve requests of very
+// different lengths.
+func (m *Machine) runTime(r *record) dfuclock.Duration {
+	if typical := m.Typical(r.kind); typical > 0 {
+		return typical
+	}
+	return m.service.mean()
+}
+
 // cautious returns how long a run of a kind takes with the disturbances that most
 // runs meet, or zero while nothing is known.
 func (m *Machine) cautious(kind dfuident.Kind) dfuclock.Duration {
--- a/core/request/dfugate/offer.go
+++ b/core/request/dfugate/offer.go
@@ -158,7 +158,7 @@
 	if len(m.running)+m.waiting() < slots || slots == 0 {
 		return false
 	}
-	return m.wait(r)+m.service.mean() > r.deadline.Sub(now)
+	return m.wait(r)+m.runTime(r) > r.deadline.Sub(now)
 }
 
 // wait returns the expected time until a request that comes now gets a slot.
