core/request: let bodies come later in the property of true outcomes

A third of the requests is offered ahead without its body, over links that reorder, drop and duplicate; what is not known to have left counts as not sent.

--- a/core/request/network_test.go
+++ b/core/request/network_test.go
@@ -51,8 +51,11 @@
 	finished map[dfuattempt.RequestNumber]dfuattempt.Finish
 	lost     map[dfuattempt.RequestNumber]bool
 	sent     map[dfuident.RequestID]dfuattempt.Send
-	// unsent holds attempts whose offer was never delivered nor dropped.
-	unsent  map[dfuident.RequestID]bool
+	// unsent holds attempts whose offer was never delivered nor dropped. An offer
+	// that went ahead without its body doesn't count.
+	unsent map[dfuident.RequestID]bool
+	// whole holds the offers that went ahead without their bodies.
+	whole   map[dfuident.RequestID]message
 	effects map[dfuattempt.RequestNumber]int
 	ran     map[dfuident.RequestID]int
 	answers map[answerKey]int
@@ -87,6 +90,7 @@
 		lost:     make(map[dfuattempt.RequestNumber]bool),
 		sent:     make(map[dfuident.RequestID]dfuattempt.Send),
 		unsent:   make(map[dfuident.RequestID]bool),
+		whole:    make(map[dfuident.RequestID]message),
 		effects:  make(map[dfuattempt.RequestNumber]int),
 		ran:      make(map[dfuident.RequestID]int),
 		answers:  make(map[answerKey]int),
@@ -109,6 +113,7 @@
 	cfg := dfugate.DefaultConfig()
 	cfg.VerdictsMax = rapid.SampledFrom([]int{3, 1000}).Draw(n.t, "verdicts")
 	cfg.Limits.Queue = 2
+	cfg.LinkRate = 1
 	node.gate = dfugate.New(cfg, node.self)
 	n.stepGate(node, dfugate.TargetAnnounced{Service: networkService, Slots: 1})
 }
@@ -136,11 +141,7 @@
 		case dfuattempt.Send:
 			n.sent[a.ID] = a
 			n.unsent[a.ID] = true
-			r := n.arrived[a.Request]
-			n.post(message{to: a.To, gate: dfugate.Offer{
-				ID: a.ID, To: a.To, Service: networkService, Key: r.Key, Remaining: a.Remaining,
-				Idempotent: r.Idempotent, Settled: a.Settled,
-			}})
+			n.offer(a, n.arrived[a.Request])
 		case dfuattempt.SendCancel:
 			n.post(message{to: a.To, gate: dfugate.Cancel{ID: a.ID, Reason: dfuoutcome.ReasonCanceled}})
 		case dfuattempt.SendSeal:
@@ -152,6 +153,26 @@
 	}
 }
 
+// offer sends an attempt to its gate, without the body if that is large.
+func (n *network) offer(a dfuattempt.Send, r dfuattempt.Arrived) {
+	offer := dfugate.Offer{
+		ID: a.ID, To: a.To, Service: networkService, Key: r.Key, Remaining: a.Remaining,
+		Idempotent: r.Idempotent, NoClaim: r.Body > 0, Settled: a.Settled,
+	}
+	if r.Body > 0 {
+		n.whole[a.ID] = message{to: a.To, gate: offer}
+		offer.BodyLater, offer.Bytes = true, r.Body
+	}
+	n.post(message{to: a.To, gate: offer})
+}
+
+// noteOffer notes that an offer left its link for good, which may run now.
+func (n *network) noteOffer(m message) {
+	if offer, ok := m.gate.(dfugate.Offer); ok && !offer.BodyLater {
+		delete(n.unsent, offer.ID)
+	}
+}
+
 func (n *network) finish(a dfuattempt.Finish) {
 	if _, twice := n.finished[a.Request]; twice {
 		n.t.Fatalf("request %d is finished twice", a.Request)
@@ -170,6 +191,10 @@
 			if a.Remaining <= 0 {
 				n.t.Fatalf("%v is handed over after its deadline", a.ID)
 			}
+		case dfugate.AskBody:
+			if n.unsent[a.ID] {
+				n.post(n.whole[a.ID])
+			}
 		case dfugate.AskClaim:
 			n.post(message{to: node.self, gate: dfugate.ClaimGranted{ID: a.ID}})
 		case dfugate.Refuse:
@@ -212,9 +237,7 @@
 		if _, granted := m.gate.(dfugate.ClaimGranted); granted && node.self != m.to {
 			return
 		}
-		if offer, ok := m.gate.(dfugate.Offer); ok {
-			delete(n.unsent, offer.ID)
-		}
+		n.noteOffer(m)
 		n.stepGate(node, m.gate)
 	}
 }
@@ -293,6 +316,7 @@
 		Remaining:  dfuclock.Duration(rapid.IntRange(1, 200).Draw(t, "remaining")),
 		Allowance:  3,
 		Hedge:      rapid.Bool().Draw(t, "hedge"),
+		Body:       rapid.SampledFrom([]dfuident.Bytes{0, 0, 60}).Draw(t, "body"),
 	}
 	n.arrived[e.Request] = e
 	n.stepEntry(e)
@@ -300,17 +324,13 @@
 
 func (n *network) drop(t *rapid.T) {
 	if m, ok := n.take(t); ok {
-		if offer, ok := m.gate.(dfugate.Offer); ok {
-			delete(n.unsent, offer.ID)
-		}
+		n.noteOffer(m)
 	}
 }
 
 func (n *network) duplicate(t *rapid.T) {
 	if m, ok := n.take(t); ok {
-		if offer, ok := m.gate.(dfugate.Offer); ok {
-			delete(n.unsent, offer.ID)
-		}
+		n.noteOffer(m)
 		n.bag = append(n.bag, m, m)
 	}
 }
