core/request/dfugate: tell a nearly full target from a disturbed one

The time of work was worked out from what the target told of its pace, which is told less often while few slots are taken: what was told of a spell counted on after its end, the work seemed shorter, and a low quantile picked just these. Change: only runs count during which the target never told that it was slow; the low quantile and the median must both be longer. A gate that starts uses no more than the lower level until it has seen it, so that it knows soon under overload. TestDisturbedTargetIsNotTakenForFull fails without it (31 s of 60 with fewer slots).

--- a/core/request/dfugate/dispatch.go
+++ b/core/request/dfugate/dispatch.go
@@ -62,8 +62,12 @@
 	r.state = stateRunning
 	r.started = now
 	m.running = append(m.running, r)
-	r.startedWork = m.pace.work(now)
 	r.startedLevel = len(m.running)
+	r.startedDisturbances = m.pace.disturbances
+	if m.pace.slow() {
+		// What was told last may still hold.
+		r.startedDisturbances--
+	}
 	m.emit(RunOnTarget{ID: r.id, Remaining: r.deadline.Sub(now)})
 }
 
--- a/core/request/dfugate/fullness.go
+++ b/core/request/dfugate/fullness.go
@@ -19,10 +19,12 @@
 	// request and each of the two levels.
 	fullnessSamples = 32
 	// fullnessNeeded is how many of them are needed for a comparison.
-	fullnessNeeded = 20
+	fullnessNeeded = 12
 	// fullnessQuantile is compared in place of the mean: requests that wait for
 	// a call of their own are longer for another reason, and some make none.
-	fullnessQuantile = 0.25
+	fullnessQuantile = 0.125
+	// fullnessMedian is compared too.
+	fullnessMedian = 0.5
 	// fullnessRatio is the ratio from which the target counts as slowed down.
 	fullnessRatio = 1.4
 	// fullnessSustained is how long the ratio has to be found.
@@ -30,6 +32,9 @@
 	// fullnessSpacing is the least time between two of them. Runs that end
 	// together have mostly met the same disturbance.
 	fullnessSpacing = 50 * dfuclock.Millisecond
+	// fullnessSlots is the number of slots from which a target is explored before
+	// all of them are used: of fewer, a fifth is not even one.
+	fullnessSlots = 5
 	// fullnessKinds bounds the kinds of requests that are told apart.
 	fullnessKinds = 64
 	// fullnessMemory is how long a finding holds before it is looked for anew.
@@ -42,9 +47,9 @@
 // fullness finds out whether a target slows down when it is nearly full.
 type fullness struct {
 	kinds map[dfuident.Kind]*levels
-	// exploring says that only times of work of a nearly full target are known,
-	// so that fewer slots are used until others are.
-	exploring bool
+	// few and nearly say that enough times of work are known of some kind of
+	// requests at either level.
+	few, nearly bool
 	// slowedUntil is when the finding that the target slows down expires.
 	slowedUntil dfuclock.Time
 }
@@ -74,14 +79,27 @@
 	s.n = min(s.n+1, fullnessSamples)
 }
 
-// quantile returns the compared quantile, or false while there are too few.
-func (s *samples) quantile() (workTime, bool) {
-	if s.n < fullnessNeeded {
-		return 0, false
-	}
+// known reports whether there are enough of them to compare.
+func (s *samples) known() bool {
+	return s.n >= fullnessNeeded
+}
+
+// quantile returns a quantile of the samples.
+func (s *samples) quantile(q float64) float64 {
 	sorted := s.values
 	slices.Sort(sorted[:s.n])
-	return sorted[int(fullnessQuantile*float64(s.n))], true
+	return float64(sorted[int(q*float64(s.n))])
+}
+
+// slowed reports whether the target takes longer for the same when it is nearly full,
+// for short runs and for middling ones: a few short runs may be so by chance.
+func (l *levels) slowed() bool {
+	for _, q := range []float64{fullnessQuantile, fullnessMedian} {
+		if l.nearly.quantile(q) < fullnessRatio*l.few.quantile(q) {
+			return false
+		}
+	}
+	return true
 }
 
 // note learns from a finished run that began and ended while so many of the
@@ -107,11 +125,10 @@
 	} else {
 		l.nearly.add(now, w)
 	}
-	few, known := l.few.quantile()
-	nearly, alsoKnown := l.nearly.quantile()
-	f.exploring = !known && alsoKnown
+	f.few = f.few || l.few.known()
+	f.nearly = f.nearly || l.nearly.known()
 	switch {
-	case !known || !alsoKnown || float64(nearly) < fullnessRatio*float64(few):
+	case !l.few.known() || !l.nearly.known() || !l.slowed():
 		l.above = 0
 	case l.above == 0:
 		l.above = now
@@ -121,10 +138,14 @@
 	}
 }
 
-// limit returns how many of the slots are to be used.
-func (f *fullness) limit(now dfuclock.Time, slots int) int {
+// limit returns how many of the slots are to be used. While no times of work are known
+// with few slots taken, no more are used if the target tells its pace, so that a gate
+// that starts under overload finds out soon; of any other target once those of a
+// nearly full one are known.
+func (f *fullness) limit(now dfuclock.Time, slots int, tells bool) int {
 	slowed := f.slowedUntil != 0 && now.Before(f.slowedUntil)
-	if slowed || f.exploring {
+	unexplored := !f.few && (f.nearly || tells && slots >= fullnessSlots)
+	if slowed || unexplored {
 		return nearlyFull(slots)
 	}
 	return slots
--- a/core/request/dfugate/load_test.go
+++ b/core/request/dfugate/load_test.go
@@ -27,6 +27,10 @@
 	// disturbed is the share of the time in which work takes five times as long,
 	// in spells of 150 ms.
 	disturbed float64
+	// spread is how far the work of requests lies apart, as a share of its mean.
+	spread float64
+	// limited counts the milliseconds in which the gate used fewer than all slots.
+	limited int
 
 	slow    bool
 	until   dfuclock.Time
@@ -87,7 +91,7 @@
 		for _, a := range append([]dfugate.Action(nil), m.Step(now, e)...) {
 			switch a := a.(type) {
 			case dfugate.RunOnTarget:
-				s.running[a.ID] = 100 * (0.7 + 0.6*s.work.Float64())
+				s.running[a.ID] = 100 * (1 - s.spread/2 + s.spread*s.work.Float64())
 			case dfugate.CancelOnTarget:
 				delete(s.running, a.ID)
 				step(dfugate.TargetFailed{ID: a.ID})
@@ -129,6 +133,9 @@
 			step(dfugate.TargetDone{ID: id})
 		}
 		step(dfugate.Tick{})
+		if int(m.Load().Slots) < s.slots {
+			s.limited++
+		}
 	}
 	return finished, inTime
 }
@@ -145,7 +152,7 @@
 			cfg.AllSlots = allSlots
 			n, _ := overload(cfg, &simulatedTarget{
 				neighbors: rand.New(rand.NewPCG(seed, 1)), work: rand.New(rand.NewPCG(seed, 2)),
-				slots: 12, knee: 0.8, kneeFactor: factor, disturbed: 0.25,
+				slots: 12, knee: 0.8, kneeFactor: factor, disturbed: 0.25, spread: 0.6,
 			}, length, 0)
 			return n
 		}
@@ -158,6 +165,22 @@
 	}
 }
 
+// A target that works as fast when it is full is not taken for one that slows down,
+// however much neighbors disturb it and however different its requests are: all of its
+// slots are used nearly all the time.
+func TestDisturbedTargetIsNotTakenForFull(t *testing.T) {
+	const length = 60_000
+	for seed := range uint64(5) {
+		s := &simulatedTarget{
+			neighbors: rand.New(rand.NewPCG(seed, 1)), work: rand.New(rand.NewPCG(seed, 2)),
+			slots: 9, knee: 1, disturbed: 0.35, spread: 1.4,
+		}
+		overload(dfugate.DefaultConfig(), s, length, wanted)
+		t.Logf("seed %d: fewer slots for %d of %d ms", seed, s.limited, length)
+		is.New(t).True(s.limited*100 <= length*5) // at most a twentieth of the time
+	}
+}
+
 // Earliest deadline first with admission control: under overload the gate that
 // goes by objectives answers several times as many requests within the time
 // wanted as the earlier one, which goes by deadlines and fills them up with
@@ -169,7 +192,7 @@
 		inTime := func(objective dfuclock.Duration) int {
 			_, n := overload(dfugate.DefaultConfig(), &simulatedTarget{
 				neighbors: rand.New(rand.NewPCG(seed, 1)), work: rand.New(rand.NewPCG(seed, 2)),
-				slots: 12, knee: 1, disturbed: 0.25,
+				slots: 12, knee: 1, disturbed: 0.25, spread: 0.6,
 			}, length, objective)
 			return n
 		}
@@ -192,7 +215,7 @@
 			cfg.AdmitQuantile = quantile
 			_, n := overload(cfg, &simulatedTarget{
 				neighbors: rand.New(rand.NewPCG(seed, 1)), work: rand.New(rand.NewPCG(seed, 2)),
-				slots: 9, knee: 1, disturbed: 0.35,
+				slots: 9, knee: 1, disturbed: 0.35, spread: 0.6,
 			}, length, wanted)
 			return n
 		}
--- a/core/request/dfugate/machine.go
+++ b/core/request/dfugate/machine.go
@@ -156,10 +156,11 @@
 	state   state
 	claimed bool
 	started dfuclock.Time
-	// startedWork and startedLevel are the target's work so far and the slots
-	// taken, this request's included, when it was handed over.
-	startedWork  workTime
-	startedLevel int
+	// startedLevel is how many slots were taken, this request's included, and
+	// startedDisturbances how often the target had told that it is slow, when the
+	// request was handed over.
+	startedLevel        int
+	startedDisturbances int
 	// canceled is the reason for which the target was asked to stop.
 	canceled   dfuoutcome.Reason
 	queueIndex int
@@ -284,7 +285,7 @@
 	}
 	n := min(m.target.slots, m.target.warm)
 	if !m.cfg.AllSlots {
-		n = min(n, m.full.limit(m.now, m.target.slots))
+		n = min(n, m.full.limit(m.now, m.target.slots, m.pace.told))
 	}
 	if m.limits.Concurrency > 0 {
 		n = min(n, m.limits.Concurrency)
--- a/core/request/dfugate/pace.go
+++ b/core/request/dfugate/pace.go
@@ -28,9 +28,8 @@
 	told     bool
 	slowdown int
 	at       dfuclock.Time
-	// done is the work that a run would have done until at, with the pace that
-	// was told.
-	done workTime
+	// disturbances counts how often the target told that it is slow.
+	disturbances int
 	// least and leastBefore are the least slowdowns told in the present and in
 	// the former span of baseSpan, spanBegan is when the present one began.
 	least, leastBefore int
@@ -52,14 +51,13 @@
 	return uint16(min(p.slowdown, math.MaxUint16))
 }
 
-// work returns how much work a run would have done by now, in ms at the usual
-// pace. Only differences of it mean something.
-func (p *pace) work(now dfuclock.Time) workTime {
-	passed := workTime(now.Sub(p.at))
-	if p.slowdown <= 0 {
-		return p.done + passed
+// calm returns how long a run took at the usual pace, or false if the target told
+// meanwhile that it was slow, so that this isn't known.
+func (p *pace) calm(took dfuclock.Duration, disturbances int) (workTime, bool) {
+	if p.disturbances != disturbances || p.slow() {
+		return 0, false
 	}
-	return p.done + passed*usualPercent/workTime(p.slowdown)
+	return workTime(took) * usualPercent / workTime(max(p.slowdown, usualPercent)), true
 }
 
 // slow reports whether the target was slow when it told its pace, compared with its
@@ -80,7 +78,6 @@
 // note takes what the target told.
 func (p *pace) note(now dfuclock.Time, slowdown int) {
 	p.told = true
-	p.done = p.work(now)
 	p.slowdown = slowdown
 	p.at = now
 	if p.least == 0 || now.Sub(p.spanBegan) >= baseSpan {
@@ -88,6 +85,9 @@
 		p.spanBegan = now
 	}
 	p.least = min(p.least, slowdown)
+	if p.slow() {
+		p.disturbances++
+	}
 }
 
 // enqueueOnceTold lets a request in that looks for a target with a free slot. If
--- a/core/request/dfugate/target.go
+++ b/core/request/dfugate/target.go
@@ -66,7 +66,9 @@
 		m.service.add(now.Sub(r.started))
 		m.noteTime(r.kind, now.Sub(r.started))
 		m.target.warm = min(m.target.warm+1, m.target.slots)
-		m.full.note(now, r.kind, m.target.slots, r.startedLevel, len(m.running), m.pace.work(now)-r.startedWork)
+		if work, ok := m.pace.calm(now.Sub(r.started), r.startedDisturbances); ok {
+			m.full.note(now, r.kind, m.target.slots, r.startedLevel, len(m.running), work)
+		}
 	}
 	if m.crash.Completed(r.fingerprint) {
 		m.emit(ClearFingerprint{Fingerprint: r.fingerprint})
