core/connection/dfuchoice: handle Paced where the other policies are handled

Cause: the linter wants each type switch over a sealed interface to be complete, and two weren't: Choose returned before its switch for Paced, and the policy model's worker knew no AskBody. Change: Choose takes its candidates from one function that says what each policy rules out, and Paced is a case like the others.

--- a/core/connection/dfuchoice/chooser.go
+++ b/core/connection/dfuchoice/chooser.go
@@ -176,16 +176,7 @@
 	if state == nil {
 		return Choice{}, false
 	}
-	if _, ok := c.settings.Policy.(Paced); ok {
-		// Targets that have refused the request take part, to wait there.
-		return c.byPace(now, q, state)
-	}
-	candidates := make([]*targetState, 0, len(state.targets))
-	for _, t := range state.targets {
-		if !t.target.Draining && !slices.Contains(q.Excluded, t.target.Member.Node) {
-			candidates = append(candidates, t)
-		}
-	}
+	candidates := c.candidates(q, state)
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
@@ -205,10 +196,30 @@
 		return c.byResponse(now, q, state, candidates, 2), true
 	case LateBinding:
 		return c.byResponse(now, q, state, candidates, policy.Draws), true
+	case Paced:
+		return c.byPace(now, q, state, candidates)
 	}
 	return Choice{}, false
 }
 
+// candidates returns the targets that the request may go to. For Paced, those that had
+// no room for it are among them, to wait there.
+func (c *Chooser) candidates(q Query, state *serviceState) []*targetState {
+	_, paced := c.settings.Policy.(Paced)
+	candidates := make([]*targetState, 0, len(state.targets))
+	for _, t := range state.targets {
+		node := t.target.Member.Node
+		ruledOut := slices.Contains(q.Excluded, node)
+		if paced {
+			ruledOut = q.rulesOut(node)
+		}
+		if !t.target.Draining && !ruledOut {
+			candidates = append(candidates, t)
+		}
+	}
+	return candidates
+}
+
 // regional returns the candidates of the own region if only those are wanted
 // and there are any.
 func regional(q Query, candidates []*targetState, only bool) []*targetState {
--- a/core/connection/dfuchoice/paced.go
+++ b/core/connection/dfuchoice/paced.go
@@ -60,17 +60,8 @@
 	k.answer = average(k.answer, float64(f.Answer), smoothing)
 }
 
-// byPace chooses the target of the least cost.
-func (c *Chooser) byPace(now dfuclock.Time, q Query, state *serviceState) (Choice, bool) {
-	candidates := make([]*targetState, 0, len(state.targets))
-	for _, t := range state.targets {
-		if !t.target.Draining && !q.rulesOut(t.target.Member.Node) {
-			candidates = append(candidates, t)
-		}
-	}
-	if len(candidates) == 0 {
-		return Choice{}, false
-	}
+// byPace chooses the candidate of the least cost.
+func (c *Chooser) byPace(now dfuclock.Time, q Query, state *serviceState, candidates []*targetState) (Choice, bool) {
 	usable, reason := c.usable(now, q, state, candidates)
 	if reason == ReasonProbation {
 		return Choice{Member: usable[0].target.Member, Reason: reason}, true
--- a/measure/policy/worker.go
+++ b/measure/policy/worker.go
@@ -165,8 +165,8 @@
 
 func (w *worker) do(action dfugate.Action) {
 	switch action := action.(type) {
-	case dfugate.AskTarget:
-		// Workers tell no pace.
+	case dfugate.AskTarget, dfugate.AskBody:
+		// Workers tell no pace, and requests have no bodies.
 	case dfugate.RunOnTarget:
 		w.run(action.ID)
 	case dfugate.AskClaim:
