--- a/io/request/dfudispatch/retry.go
+++ b/io/request/dfudispatch/retry.go
@@ -4,15 +4,7 @@
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/request/dfuattempt"
 	"dragonflyusher/core/request/dfuoutcome"
-)
-
-const (
-	// retryAfterShare is the part of a route's target latency after which a
-	// refused caller is asked to come back: there is still time for an answer
-	// then, and targets that were slowed down have recovered.
-	retryAfterShare = 0.15
-	// retryAfterSpread is the part of that time by which returns are spread.
-	retryAfterSpread = 1.0
+	"dragonflyusher/core/request/dfureturn"
 )
 
 // retryAfter returns when the caller of a request that was not run should come
@@ -21,6 +13,5 @@
 	if a.Outcome != dfuoutcome.NotRun || r.call.Route == nil {
 		return 0
 	}
-	share := retryAfterShare * (1 + retryAfterSpread*d.deps.Rand())
-	return dfuclock.Duration(share * float64(r.call.Route.TargetLatency))
+	return dfureturn.RetryAfter(r.call.Route.TargetLatency, dfureturn.RetryAfterShare, d.deps.Rand())
 }
--- /dev/null
+++ b/measure/cmd/emulate/vary.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"dragonflyusher/measure/dfuemulator"
+	"dragonflyusher/measure/dfuexperiment"
+	"dragonflyusher/measure/dfureport"
+
+	"github.com/cockroachdb/errors"
+)
+
+// varyCommand prints a table for the values of one parameter.
+type varyCommand struct {
+	source
+	Vary string `long:"vary" description:"NAME=VALUE,VALUE"`
+	List bool   `long:"list" description:"list the parameters and end"`
+}
+
+// Execute implements flags.Commander.
+func (c *varyCommand) Execute([]string) error {
+	if c.List {
+		for _, k := range dfuexperiment.Knobs() {
+			fmt.Printf("%-16s %s\n", k.Name, k.Help)
+		}
+		return nil
+	}
+	if c.Vary == "" {
+		return errors.New("--vary or --list is needed")
+	}
+	scenarios, err := c.load()
+	if err != nil {
+		return err
+	}
+	schedulers, err := dfuexperiment.Vary(dfuemulator.Current(), c.Vary)
+	if err != nil {
+		return err
+	}
+	outcomes := dfuexperiment.Run(scenarios, schedulers, c.Seeds)
+	if err := dfureport.Table(os.Stdout, outcomes); err != nil {
+		return err
+	}
+	fmt.Println()
+	return dfureport.Means(os.Stdout, outcomes)
+}
--- /dev/null
+++ b/measure/dfuemulator/entry.go
@@ -0,0 +1,226 @@
+package dfuemulator
+
+import (
+	"dragonflyusher/core/connection/dfuchoice"
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/request/dfuattempt"
+	"dragonflyusher/core/request/dfugate"
+	"dragonflyusher/core/request/dfuoutcome"
+	"dragonflyusher/measure/dfuvirtual"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// objectiveReserve and patienceShare are those of the daemon
+	// (io/request/dfudispatch).
+	objectiveReserve = 10 * dfuclock.Millisecond
+	patienceShare    = 4
+	// linkTimeout is after how long an attempt at a VM that is down counts as not
+	// sent: the time of a connection that is refused or not answered.
+	linkTimeout = 100 * dfuvirtual.Millisecond
+)
+
+// accept takes a request of a caller or of the local target. finish is called once.
+func (n *node) accept(c *entryCall) {
+	k := c.request.kind
+	c.began = n.vm.now()
+	if !c.nested {
+		c.waited = n.deadlines.Waited(c.began, k.Name, c.remaining)
+	}
+	c.remaining = min(c.remaining, k.Timeout)
+	n.arrive(c)
+}
+
+// arrive gives the machine a call, for the first time or again.
+func (n *node) arrive(c *entryCall) {
+	k := c.request.kind
+	n.number++
+	c.number = n.number
+	n.calls[c.number] = c
+	now := n.vm.now()
+	passed := now.Sub(c.began)
+	event := dfuattempt.Arrived{
+		Request:    c.number,
+		Service:    k.Service,
+		Class:      dfugate.Class(min(max(k.Priority, 0), dfugate.ClassCount-1)),
+		Kind:       kindOf(k.Name),
+		Nested:     c.nested,
+		Idempotent: k.Idempotent,
+		Remaining:  c.remaining - passed,
+		Objective:  max(dfuclock.Millisecond, k.Latency-objectiveReserve-c.waited-passed),
+		Body:       c.request.body,
+		Targets:    k.Attempts,
+	}
+	if c.nested {
+		event.Class, event.Objective = 0, 0
+	}
+	n.step(event)
+}
+
+func kindOf(name string) dfuident.Kind {
+	return dfuident.Kind(xxhash.Sum64String(name))
+}
+
+// leave tells the machine that a caller has gone.
+func (n *node) leave(c *entryCall) {
+	c.gone = true
+	n.step(dfuattempt.CallerGone{Request: c.number})
+}
+
+// step gives the machine an event and carries out its actions.
+func (n *node) step(event dfuattempt.Event) {
+	if n.stopped {
+		return
+	}
+	actions := append([]dfuattempt.Action(nil), n.machine.Step(n.vm.now(), event)...)
+	for _, action := range actions {
+		switch a := action.(type) {
+		case dfuattempt.Send:
+			n.send(a)
+		case dfuattempt.SendCancel:
+			n.sendCancel(a)
+		case dfuattempt.SendSeal:
+			n.sendSeal(a)
+		case dfuattempt.Finish:
+			n.finished(a)
+		case dfuattempt.Log:
+		}
+	}
+	if due, ok := n.machine.Next(); ok {
+		n.vm.world.clock.After(dfuvirtual.At(due)-n.vm.world.clock.Now(), n.tick)
+	}
+}
+
+// tick gives the machine the time if something is due.
+func (n *node) tick() {
+	if due, ok := n.machine.Next(); ok && !n.vm.now().Before(due) {
+		n.step(dfuattempt.Tick{})
+	}
+}
+
+// finished ends a call, or tries it again while no node can take it just now.
+func (n *node) finished(a dfuattempt.Finish) {
+	c := n.calls[a.Request]
+	if c == nil {
+		return
+	}
+	delete(n.calls, a.Request)
+	r := result{outcome: a.Outcome, reason: a.Reason}
+	if at := n.attempts[a.ID]; at != nil {
+		r.failed = at.failed
+	}
+	passed := n.vm.now().Sub(c.began)
+	patience := min(c.remaining-passed, c.request.kind.Latency/patienceShare-passed)
+	if wait, again := c.repeat.After(a.Outcome, a.Reason, patience); again && !c.gone {
+		n.vm.world.clock.After(dfuvirtual.Of(wait), func() {
+			if !n.stopped && !c.gone {
+				n.arrive(c)
+			}
+		})
+		return
+	}
+	if a.Outcome == dfuoutcome.NotRun {
+		r.retryAfter = n.vm.world.retryAfter(c.request.kind.Latency, n.vm.rng)
+	}
+	c.finish(r)
+}
+
+// send offers a request to a gate.
+func (n *node) send(a dfuattempt.Send) {
+	c := n.calls[a.Request]
+	to := n.vm.world.byID[a.To.Node]
+	at := &entryAttempt{call: c, to: to}
+	n.attempts[a.ID] = at
+	if to == nil || to.node == nil || to.member() != a.To {
+		n.vm.world.clock.After(linkTimeout, func() { n.step(dfuattempt.NotSent{ID: a.ID}) })
+		return
+	}
+	offer := dfugate.Offer{
+		ID: a.ID, To: a.To, Service: c.request.kind.Service, Class: classOf(c), Kind: kindOf(c.request.kind.Name),
+		Remaining: a.Remaining, Objective: a.Objective, Idempotent: c.request.kind.Idempotent, NoClaim: true,
+		NoWait: !a.Wait, Nested: c.nested, Settled: a.Settled,
+	}
+	if to != n.vm && c.request.body > bodyAheadBytes {
+		ahead := offer
+		ahead.BodyLater, ahead.Bytes = true, c.request.body
+		n.transmitOffer(at, ahead, framingBytes)
+		return
+	}
+	n.transmitOffer(at, offer, framingBytes+c.request.body)
+}
+
+// framingBytes is what a message takes besides bodies.
+const framingBytes = 350
+
+func classOf(c *entryCall) dfugate.Class {
+	if c.nested {
+		return 0
+	}
+	return dfugate.Class(min(max(c.request.kind.Priority, 0), dfugate.ClassCount-1))
+}
+
+// transmitOffer sends an offer, which is lost with the VM that it goes to.
+func (n *node) transmitOffer(at *entryAttempt, offer dfugate.Offer, size dfuident.Bytes) {
+	to := at.to
+	n.vm.world.network.send(n.vm, to, size, func() {
+		if to.node == nil || to.member() != offer.To {
+			n.backFrom(to, func() { n.step(dfuattempt.NotSent{ID: offer.ID}) })
+			return
+		}
+		to.node.offered(n, at, offer)
+	})
+}
+
+// backFrom calls back after the way back from a VM.
+func (n *node) backFrom(from *vm, do func()) {
+	n.vm.world.clock.After(dfuvirtual.Milliseconds(n.vm.world.delay(from, n.vm)), do)
+}
+
+// sendBody sends the whole offer that the gate asked for.
+func (n *node) sendBody(at *entryAttempt, offer dfugate.Offer) {
+	offer.BodyLater, offer.NoWait = false, false
+	n.transmitOffer(at, offer, framingBytes+at.call.request.body)
+}
+
+// replied takes the end of an attempt.
+func (n *node) replied(id dfuident.RequestID, outcome dfuoutcome.Outcome, reason dfuoutcome.Reason, failed bool, load dfugate.Load) {
+	at := n.attempts[id]
+	if at == nil || n.stopped {
+		return
+	}
+	at.failed = failed
+	told := dfuchoice.Load(load)
+	event := dfuattempt.Replied{ID: id, Outcome: outcome, Reason: reason, TargetError: failed}
+	if outcome == dfuoutcome.NotRun || load.Slowdown > 0 {
+		event.Load = &told
+	}
+	if outcome == dfuoutcome.Answered {
+		event.Answer = at.call.request.answer
+	}
+	n.step(event)
+	delete(n.attempts, id)
+}
+
+func (n *node) sendCancel(a dfuattempt.SendCancel) {
+	to := n.vm.world.byID[a.To.Node]
+	n.vm.world.network.send(n.vm, to, framingBytes, func() {
+		if to.node != nil && to.member() == a.To {
+			to.node.stepGate(dfugate.Cancel{ID: a.ID, Reason: dfuoutcome.ReasonCanceled})
+		}
+	})
+}
+
+func (n *node) sendSeal(a dfuattempt.SendSeal) {
+	to := n.vm.world.byID[a.To.Node]
+	if to.node == nil || to.member() != a.To {
+		n.vm.world.clock.After(linkTimeout, func() { n.step(dfuattempt.SealFailed{ID: a.ID, Gone: true}) })
+		return
+	}
+	n.vm.world.network.send(n.vm, to, framingBytes, func() {
+		if to.node != nil && to.member() == a.To {
+			to.node.sealFor(n, a.ID)
+		}
+	})
+}
--- /dev/null
+++ b/measure/dfuemulator/result.go
@@ -0,0 +1,201 @@
+package dfuemulator
+
+import (
+	"slices"
+
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/request/dfuoutcome"
+	"dragonflyusher/measure/dfuscenario"
+	"dragonflyusher/measure/dfuvirtual"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// windowLength is the length of the windows that are told apart.
+	windowLength = 2 * dfuvirtual.Second
+	// worstWindows is how many of the worst windows count.
+	worstWindows = 2
+	// windowLeast is the part of the mean worth of a window that one needs to
+	// count among the worst: the last one is short.
+	windowLeast = 0.25
+	// bytesPerGigabyte converts prices.
+	bytesPerGigabyte = 1e9
+	// longestLatency is the longest latency that is told apart, in milliseconds.
+	longestLatency = 60_000
+)
+
+// account is worth that was owed and that was earned.
+type account struct {
+	Owed, Earned float64
+	// Requests and Answered count requests, InTime those within their objective.
+	Requests, Answered, InTime int
+}
+
+// Share returns the part of the owed worth that was earned.
+func (a *account) Share() float64 {
+	if a.Owed == 0 {
+		return 1
+	}
+	return a.Earned / a.Owed
+}
+
+// Result is what callers got in one run.
+type Result struct {
+	scenario *dfuscenario.Scenario
+	total    account
+	windows  []account
+	kinds    map[string]*account
+	zones    map[dfuident.Zone]*account
+	reasons  map[dfuoutcome.Reason]int
+	// latencies are those of answers, in milliseconds by kind.
+	latencies map[string]*hdrhistogram.Histogram
+	// work is the work in milliseconds that targets began, useful what earned
+	// something.
+	work, useful           float64
+	zoneBytes, regionBytes dfuident.Bytes
+}
+
+func newResult(s *dfuscenario.Scenario) *Result {
+	r := &Result{
+		scenario:  s,
+		windows:   make([]account, int(dfuvirtual.Of(s.Length)/windowLength)+1),
+		kinds:     make(map[string]*account),
+		zones:     make(map[dfuident.Zone]*account),
+		reasons:   make(map[dfuoutcome.Reason]int),
+		latencies: make(map[string]*hdrhistogram.Histogram),
+	}
+	for _, k := range s.Kinds {
+		if !k.Inner {
+			r.kinds[k.Name] = &account{}
+			r.latencies[k.Name] = hdrhistogram.New(1, longestLatency, 2)
+		}
+	}
+	for _, z := range s.Zones {
+		r.zones[z.Zone] = &account{}
+	}
+	return r
+}
+
+// accounts returns where a request counts.
+func (r *Result) accounts(q *request) []*account {
+	return []*account{&r.total, &r.windows[q.at/windowLength], r.kinds[q.kind.Name], r.zones[q.zone]}
+}
+
+// owe notes a request.
+func (r *Result) owe(q *request) {
+	for _, a := range r.accounts(q) {
+		a.Owed += q.kind.Worth
+		a.Requests++
+	}
+}
+
+// ran notes that a target began a request.
+func (r *Result) ran(q *request) {
+	r.work += q.work
+}
+
+// settle notes what became of a request.
+func (r *Result) settle(q *request, answered bool, latency dfuclock.Duration, reason dfuoutcome.Reason) {
+	if !answered {
+		r.reasons[reason]++
+		return
+	}
+	earned := q.kind.LateWorth
+	inTime := latency <= q.kind.Latency
+	if inTime {
+		earned = q.kind.Worth
+	}
+	r.useful += q.work
+	for _, call := range q.calls {
+		r.useful += call.work
+	}
+	// Latencies beyond the histogram's range count as its greatest.
+	if err := r.latencies[q.kind.Name].RecordValue(min(int64(latency), longestLatency)); err != nil {
+		panic(err)
+	}
+	for _, a := range r.accounts(q) {
+		a.Earned += earned
+		a.Answered++
+		if inTime {
+			a.InTime++
+		}
+	}
+}
+
+// Summary holds the figures of one run.
+type Summary struct {
+	// Worth is the weighed sum of the parts below, less the price of the bytes.
+	Worth float64
+	// Mean, WorstWindows and WorstKind are shares of the owed worth, Served is the
+	// share of requests that were answered at all.
+	Mean, WorstWindows, WorstKind, Served float64
+	// Bytes is the price of the bytes between zones and regions, as a part of the
+	// owed worth.
+	Bytes float64
+	// Wasted is the share of the work that earned nothing.
+	Wasted float64
+	// Windows are the shares earned in each window, Kinds and Zones those of each
+	// kind and zone.
+	Windows []float64
+	Kinds   map[string]float64
+	Zones   map[dfuident.Zone]float64
+	// P50 and P99 are latencies of answers by kind, in milliseconds.
+	P50, P99 map[string]float64
+	// Reasons counts the requests without an answer by the last reason.
+	Reasons map[dfuoutcome.Reason]int
+}
+
+// Summary returns the figures of the run.
+func (r *Result) Summary() Summary {
+	g := r.scenario.Goal
+	s := Summary{
+		Mean: r.total.Share(), WorstWindows: r.worstWindows(), WorstKind: 1,
+		Served:  float64(r.total.Answered) / float64(max(r.total.Requests, 1)),
+		Wasted:  1 - r.useful/max(r.work, 1),
+		Kinds:   make(map[string]float64),
+		Zones:   make(map[dfuident.Zone]float64),
+		P50:     make(map[string]float64),
+		P99:     make(map[string]float64),
+		Reasons: r.reasons,
+	}
+	const median, tail = 50, 99
+	for name, a := range r.kinds {
+		s.Kinds[name] = a.Share()
+		s.WorstKind = min(s.WorstKind, a.Share())
+		s.P50[name] = float64(r.latencies[name].ValueAtQuantile(median))
+		s.P99[name] = float64(r.latencies[name].ValueAtQuantile(tail))
+	}
+	for zone, a := range r.zones {
+		s.Zones[zone] = a.Share()
+	}
+	for i := range r.windows {
+		s.Windows = append(s.Windows, r.windows[i].Share())
+	}
+	s.Bytes = (g.ZoneGigabyte*float64(r.zoneBytes) + g.RegionGigabyte*float64(r.regionBytes)) /
+		bytesPerGigabyte / max(r.total.Owed, 1)
+	s.Worth = g.Mean*s.Mean + g.Windows*s.WorstWindows + g.WorstKind*s.WorstKind + g.Served*s.Served - s.Bytes
+	return s
+}
+
+// worstWindows returns the mean share of the worst windows.
+func (r *Result) worstWindows() float64 {
+	least := windowLeast * r.total.Owed / float64(len(r.windows))
+	var shares []float64
+	for i := range r.windows {
+		if r.windows[i].Owed >= least {
+			shares = append(shares, r.windows[i].Share())
+		}
+	}
+	slices.Sort(shares)
+	n := min(worstWindows, len(shares))
+	if n == 0 {
+		return 1
+	}
+	sum := 0.0
+	for _, share := range shares[:n] {
+		sum += share
+	}
+	return sum / float64(n)
+}
--- /dev/null
+++ b/measure/dfureport/doc.go
@@ -0,0 +1,3 @@
+// Package dfureport writes what experiments measured: tables in Markdown and plots in
+// SVG.
+package dfureport
--- /dev/null
+++ b/measure/dfuscenario/parse.go
@@ -0,0 +1,84 @@
+package dfuscenario
+
+import (
+	"fmt"
+	"slices"
+
+	"dragonflyusher/core/process/dfudecode"
+	"dragonflyusher/core/process/dfufinding"
+	"dragonflyusher/core/process/dfuident"
+)
+
+// troubleKinds lists what may go wrong.
+var troubleKinds = []TroubleKind{
+	TroubleBurst, TroubleShift, TroubleHammer, TroubleLeave, TroubleSlow, TroubleFail, TroubleLost,
+	TroubleCrash, TroubleReplace, TroubleRemove, TroubleAdd, TroubleRestart, TroubleKill, TroublePower,
+}
+
+// Parse decodes a scenario. The error holds every finding with its place in the file.
+func Parse(file string, data []byte) (*Scenario, error) {
+	s := &Scenario{}
+	var findings dfufinding.List
+	p := dfudecode.Strict(file, data, s, &findings)
+	if p.Parsed() {
+		s.check(func(path, format string, args ...any) { p.Add(&findings, path, format, args...) })
+	}
+	if err := findings.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// check reports what the emulator could not play.
+func (s *Scenario) check(add func(path, format string, args ...any)) {
+	if s.Length <= 0 {
+		add("length_ms", "must be above 0")
+	}
+	if len(s.Zones) == 0 || len(s.Services) == 0 || len(s.VMs) == 0 || len(s.Traffic) == 0 {
+		add("", "zones, services, vms and traffic must not be empty")
+	}
+	for i, svc := range s.Services {
+		if svc.Slots <= 0 {
+			add(fmt.Sprintf("services[%d].slots", i), "must be above 0")
+		}
+	}
+	for i, v := range s.VMs {
+		s.checkZone(add, fmt.Sprintf("vms[%d].zone", i), v.Zone)
+		s.checkService(add, fmt.Sprintf("vms[%d].service", i), v.Service)
+	}
+	for i, k := range s.Kinds {
+		s.checkService(add, fmt.Sprintf("kinds[%d].service", i), k.Service)
+		for j, c := range k.Calls {
+			s.checkKind(add, fmt.Sprintf("kinds[%d].calls[%d].kind", i, j), c.Kind)
+		}
+	}
+	for i, t := range s.Traffic {
+		s.checkZone(add, fmt.Sprintf("traffic[%d].zone", i), t.Zone)
+		for j, part := range t.Mix {
+			s.checkKind(add, fmt.Sprintf("traffic[%d].mix[%d].kind", i, j), part.Kind)
+		}
+	}
+	for i, t := range s.Troubles {
+		if !slices.Contains(troubleKinds, t.Kind) {
+			add(fmt.Sprintf("troubles[%d].kind", i), "no such kind: %q", t.Kind)
+		}
+	}
+}
+
+func (s *Scenario) checkZone(add func(path, format string, args ...any), path string, zone dfuident.Zone) {
+	if !slices.ContainsFunc(s.Zones, func(p dfuident.Place) bool { return p.Zone == zone }) {
+		add(path, "no such zone: %q", zone)
+	}
+}
+
+func (s *Scenario) checkService(add func(path, format string, args ...any), path string, service dfuident.Service) {
+	if !slices.ContainsFunc(s.Services, func(o Service) bool { return o.Name == service }) {
+		add(path, "no such service: %q", service)
+	}
+}
+
+func (s *Scenario) checkKind(add func(path, format string, args ...any), path, kind string) {
+	if !slices.ContainsFunc(s.Kinds, func(o Kind) bool { return o.Name == kind }) {
+		add(path, "no such kind: %q", kind)
+	}
+}
--- a/measure/policy/entry.go
+++ b/measure/policy/entry.go
@@ -4,16 +4,17 @@
 	"dragonflyusher/core/connection/dfuchoice"
 	"dragonflyusher/core/process/dfubudget"
 	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/measure/dfuvirtual"
 )
 
 // call is one request of a caller.
 type call struct {
 	entry    *entry
 	work     float64
-	sent     instant
-	deadline instant
+	sent     dfuvirtual.Instant
+	deadline dfuvirtual.Instant
 	// leaves is when the caller goes, which nobody else knows in advance.
-	leaves     instant
+	leaves     dfuvirtual.Instant
 	patient    bool
 	idempotent bool
 	done       bool
@@ -37,9 +38,9 @@
 
 // accept takes a call, sends its first attempt and plans its end.
 func (e *entry) accept(c *call) {
-	now := e.sim.clock.now
+	now := e.sim.clock.Now()
 	e.retries.Earn(0, e.sim.deployment.Service, "", false)
-	e.sim.clock.after(c.leaves-now, func() { e.abandon(c) })
+	e.sim.clock.After(c.leaves-now, func() { e.abandon(c) })
 	e.try(c, false)
 	if !e.sim.contender.Hedge {
 		return
@@ -48,18 +49,18 @@
 	if !ok {
 		return
 	}
-	e.sim.clock.after(instant(wait)*millisecond, func() {
+	e.sim.clock.After(dfuvirtual.Instant(wait)*dfuvirtual.Millisecond, func() {
 		if !c.done && len(c.live) == 1 && c.attempts < maxAttempts {
 			e.hedge(c)
 		}
 	})
 }
 
-// hedge sends a second attempt to another target of the region.
+// hedge sends a dfuvirtual.Second attempt to another target of the region.
 func (e *entry) hedge(c *call) {
 	q := e.query(c)
 	q.Excluded = append(q.Excluded, c.live[0].worker.member.Node)
-	choice, ok := e.chooser.Choose(e.sim.clock.now.time(), q)
+	choice, ok := e.chooser.Choose(e.sim.clock.Now().Time(), q)
 	if !ok || choice.Far {
 		return
 	}
@@ -73,7 +74,7 @@
 	return dfuchoice.Query{
 		Service:    e.sim.deployment.Service,
 		From:       e.place,
-		Remaining:  (c.deadline - e.sim.clock.now).duration(),
+		Remaining:  (c.deadline - e.sim.clock.Now()).Duration(),
 		Idempotent: c.idempotent,
 		Body:       requestBytes + answerBytes,
 		Excluded:   c.excluded,
@@ -102,7 +103,7 @@
 	if e.sim.contender.Policy == nil {
 		return e.sim.oracle(e, c, q)
 	}
-	return e.chooser.Choose(e.sim.clock.now.time(), q)
+	return e.chooser.Choose(e.sim.clock.Now().Time(), q)
 }
 
 // send hands an attempt to the network.
@@ -111,14 +112,14 @@
 	e.sequence++
 	a := &attempt{
 		id:   dfuident.RequestID{Entry: e.member, Sequence: e.sequence},
-		call: c, worker: w, sent: e.sim.clock.now, wait: choice.Wait && !hedge, assigned: true,
+		call: c, worker: w, sent: e.sim.clock.Now(), wait: choice.Wait && !hedge, assigned: true,
 	}
 	c.attempts++
 	c.live = append(c.live, a)
 	w.assigned++
-	e.chooser.Sent(e.sim.clock.now.time(), choice.Member)
+	e.chooser.Sent(e.sim.clock.Now().Time(), choice.Member)
 	e.sim.transmit(e.place, w.place, requestBytes, func() { w.arrive(a) })
-	e.sim.clock.after(linkTimeout, func() {
+	e.sim.clock.After(linkTimeout, func() {
 		if !a.closed && (w.down || e.sim.isCut(e.place, w.place)) {
 			e.ended(a, dfuchoice.FeedbackLinkFailed, nil)
 		}
@@ -167,9 +168,9 @@
 			break
 		}
 	}
-	now := e.sim.clock.now
-	e.chooser.Done(now.time(), dfuchoice.Feedback{
-		Node: a.worker.member, Kind: kind, Latency: (now - a.sent).duration(), Load: load,
+	now := e.sim.clock.Now()
+	e.chooser.Done(now.Time(), dfuchoice.Feedback{
+		Node: a.worker.member, Kind: kind, Latency: (now - a.sent).Duration(), Load: load,
 	})
 	return true
 }
@@ -178,7 +179,7 @@
 func (e *entry) complete(c *call) {
 	c.done = true
 	e.cancelAll(c)
-	latency := e.sim.clock.now - c.sent + e.sim.clientDelay()
+	latency := e.sim.clock.Now() - c.sent + e.sim.clientDelay()
 	e.sim.result.note(c, latency, c.sent+latency <= c.deadline+e.sim.clientDelay())
 }
 
--- a/measure/policy/fault.go
+++ b/measure/policy/fault.go
@@ -1,6 +1,9 @@
 package policy
 
-import "dragonflyusher/core/request/dfugate"
+import (
+	"dragonflyusher/core/request/dfugate"
+	"dragonflyusher/measure/dfuvirtual"
+)
 
 // planFault schedules what goes wrong. The first worker is the one that fails.
 func (s *simulation) planFault() {
@@ -31,18 +34,18 @@
 
 // during schedules the start and the end of a fault.
 func (s *simulation) during(start, end func()) {
-	s.clock.after(faultStarts, start)
-	s.clock.after(faultEnds, end)
+	s.clock.After(faultStarts, start)
+	s.clock.After(faultEnds, end)
 }
 
 // jump lets a neighbor slow a worker down now and then.
 func (s *simulation) jump(w *worker, mean float64) {
-	gap := milliseconds(jumpGaps * mean * s.faults.ExpFloat64())
-	length := milliseconds(mean * s.faults.ExpFloat64())
-	s.clock.after(gap, func() { w.setSpeed(jumpSpeed) })
-	s.clock.after(gap+length, func() {
+	gap := dfuvirtual.Milliseconds(jumpGaps * mean * s.faults.ExpFloat64())
+	length := dfuvirtual.Milliseconds(mean * s.faults.ExpFloat64())
+	s.clock.After(gap, func() { w.setSpeed(jumpSpeed) })
+	s.clock.After(gap+length, func() {
 		w.setSpeed(1)
-		if s.clock.now < warmUp+measured {
+		if s.clock.Now() < warmUp+measured {
 			s.jump(w, mean)
 		}
 	})
@@ -56,7 +59,7 @@
 	} else {
 		w.step(dfugate.DrainCanceled{})
 	}
-	s.clock.after(rosterDelay, s.announce)
+	s.clock.After(rosterDelay, s.announce)
 }
 
 // restart replaces a worker by a cold one that reaches its full speed in
@@ -66,13 +69,13 @@
 	w.running = nil
 	w.step(dfugate.TargetAnnounced{Service: s.deployment.Service, Slots: w.slots, Cold: true})
 	w.member.Incarnation++
-	w.cold = s.clock.now.time()
+	w.cold = s.clock.Now().Time()
 	w.setSpeed(coldSpeed)
 	s.announce()
 	const steps = 8
 	for i := 1; i <= steps; i++ {
 		share := float64(i) / steps
-		s.clock.after(instant(share*float64(faultEnds-faultStarts)), func() {
+		s.clock.After(dfuvirtual.Instant(share*float64(faultEnds-faultStarts)), func() {
 			w.setSpeed(coldSpeed + share*(1-coldSpeed))
 		})
 	}
--- a/measure/policy/result.go
+++ b/measure/policy/result.go
@@ -2,6 +2,7 @@
 
 import (
 	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/measure/dfuvirtual"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
@@ -18,12 +19,12 @@
 
 // newResult returns a result without measurements.
 func newResult() *Result {
-	return &Result{latencies: hdrhistogram.New(1, int64(10*second), 3)}
+	return &Result{latencies: hdrhistogram.New(1, int64(10*dfuvirtual.Second), 3)}
 }
 
 // note takes the end of a call. Calls of the warm-up and of callers that give
 // up early are left out.
-func (r *Result) note(c *call, latency instant, inTime bool) {
+func (r *Result) note(c *call, latency dfuvirtual.Instant, inTime bool) {
 	if c.sent < warmUp || c.sent >= warmUp+measured || !c.patient {
 		return
 	}
@@ -32,7 +33,7 @@
 		r.answered++
 	}
 	if c.idempotent {
-		_ = r.latencies.RecordValue(int64(min(latency, 10*second)))
+		_ = r.latencies.RecordValue(int64(min(latency, 10*dfuvirtual.Second)))
 	}
 }
 
@@ -45,17 +46,17 @@
 	// Wasted is the share of work on abandoned calls, Extra the share on
 	// attempts whose call was answered by another one.
 	Wasted, Extra float64
-	// Measuring, LinkMeasuring and Link are in bytes per second.
+	// Measuring, LinkMeasuring and Link are in bytes per dfuvirtual.Second.
 	Measuring, LinkMeasuring, Link float64
 }
 
 // Summary returns the figures of the run.
 func (r *Result) Summary() Summary {
 	perSecond := func(b dfuident.Bytes) float64 {
-		return float64(b) * float64(second) / float64(measured)
+		return float64(b) * float64(dfuvirtual.Second) / float64(measured)
 	}
 	at := func(percentile float64) float64 {
-		return float64(r.latencies.ValueAtQuantile(percentile)) / float64(millisecond)
+		return float64(r.latencies.ValueAtQuantile(percentile)) / float64(dfuvirtual.Millisecond)
 	}
 	return Summary{
 		P50: at(50), P99: at(99), P999: at(99.9),
--- a/measure/policy/scenario.go
+++ b/measure/policy/scenario.go
@@ -3,6 +3,7 @@
 import (
 	"dragonflyusher/core/connection/dfuchoice"
 	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/measure/dfuvirtual"
 )
 
 // Deployment is the part of a fleet that one service's requests meet.
@@ -99,7 +100,7 @@
 	TellAll bool
 	// Refuse says that the gates refuse early.
 	Refuse bool
-	// Hedge says that slow idempotent requests are sent a second time.
+	// Hedge says that slow idempotent requests are sent a dfuvirtual.Second time.
 	Hedge bool
 }
 
@@ -135,10 +136,10 @@
 
 // The parameters of the fakes.
 const (
-	warmUp      = 1 * second
-	measured    = 8 * second
-	faultStarts = 3 * second
-	faultEnds   = 7 * second
+	warmUp      = 1 * dfuvirtual.Second
+	measured    = 8 * dfuvirtual.Second
+	faultStarts = 3 * dfuvirtual.Second
+	faultEnds   = 7 * dfuvirtual.Second
 	// The work of a request is workBase plus an exponential part, in
 	// milliseconds at full speed.
 	workBase, workTail = 12.0, 8.0
@@ -158,14 +159,14 @@
 	errorTime           = 1.0
 	unevenShare         = 0.65
 	// Reports are sent every reportPeriod and take reportBytes with headers.
-	reportPeriod = 100 * millisecond
+	reportPeriod = 100 * dfuvirtual.Millisecond
 	reportBytes  = dfuident.Bytes(104)
 	requestBytes = dfuident.Bytes(300)
 	answerBytes  = dfuident.Bytes(4000)
 	// linkTimeout is how long an entry node waits on a silent link.
-	linkTimeout = 250 * millisecond
+	linkTimeout = 250 * dfuvirtual.Millisecond
 	// rosterDelay is how late entry nodes learn of a change of the targets.
-	rosterDelay = 500 * millisecond
+	rosterDelay = 500 * dfuvirtual.Millisecond
 	maxAttempts = 6
 	queueFactor = 8
 )
--- a/measure/policy/simulation.go
+++ b/measure/policy/simulation.go
@@ -8,6 +8,7 @@
 	"dragonflyusher/core/process/dfubudget"
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/measure/dfuvirtual"
 )
 
 // simulation is one run of one contender.
@@ -15,7 +16,7 @@
 	deployment Deployment
 	scenario   Scenario
 	contender  Contender
-	clock      clock
+	clock      dfuvirtual.Clock
 	// arrivals, faults and network are separate streams of random numbers, so
 	// that contenders see the same arrivals and faults.
 	arrivals, faults, network *rand.Rand
@@ -23,7 +24,7 @@
 	entries                   []*entry
 	byNode                    map[dfuident.NodeID]*worker
 	// linkFree is when each direction of the link has sent what it was given.
-	linkFree map[dfuident.Region]instant
+	linkFree map[dfuident.Region]dfuvirtual.Instant
 	linkCut  bool
 	result   *Result
 }
@@ -36,12 +37,12 @@
 		faults:   rand.New(rand.NewPCG(seed, 2)),
 		network:  rand.New(rand.NewPCG(seed, 3)),
 		byNode:   map[dfuident.NodeID]*worker{},
-		linkFree: map[dfuident.Region]instant{},
+		linkFree: map[dfuident.Region]dfuvirtual.Instant{},
 		result:   newResult(),
 	}
 	sim.build(seed)
 	sim.plan()
-	sim.clock.run(warmUp + measured + second)
+	sim.clock.Run(warmUp + measured + dfuvirtual.Second)
 	return sim.result
 }
 
@@ -81,15 +82,15 @@
 		w.budget.SetView(at, dfubudget.View{Confirmed: at, Nodes: s.deployment.Workers, Joined: 1, Member: true})
 	}
 	for before := 2 * dfubudget.JoinWait; before >= 0; before -= interval {
-		show(origin.Add(-before))
+		show(dfuvirtual.Origin.Add(-before))
 	}
-	s.clock.after(instant(interval)*millisecond, func() { show(s.clock.now.time()) })
+	s.clock.After(dfuvirtual.Instant(interval)*dfuvirtual.Millisecond, func() { show(s.clock.Now().Time()) })
 }
 
-// reportCost returns the bytes per second of full reports.
+// reportCost returns the bytes per dfuvirtual.Second of full reports.
 func (s *simulation) reportCost() float64 {
 	pairs := float64(s.deployment.Workers * s.deployment.Entries)
-	return pairs * float64(reportBytes) * float64(second) / float64(reportPeriod)
+	return pairs * float64(reportBytes) * float64(dfuvirtual.Second) / float64(reportPeriod)
 }
 
 // announce tells the entry nodes the present targets.
@@ -104,7 +105,7 @@
 		})
 	}
 	for _, e := range s.entries {
-		e.chooser.SetTargets(s.clock.now.time(), s.deployment.Service, targets)
+		e.chooser.SetTargets(s.clock.Now().Time(), s.deployment.Service, targets)
 	}
 }
 
@@ -113,7 +114,7 @@
 	s.arrive(s.meanGap())
 	if s.contender.Reports {
 		for _, w := range s.workers {
-			s.clock.after(instant(s.network.Int64N(int64(reportPeriod))), func() { s.report(w) })
+			s.clock.After(dfuvirtual.Instant(s.network.Int64N(int64(reportPeriod))), func() { s.report(w) })
 		}
 	}
 	s.planFault()
@@ -127,7 +128,7 @@
 	total, n := 0.0, 20000
 	for range n {
 		c := s.draw(sample)
-		total += min(c.work, float64(c.leaves)/float64(millisecond))
+		total += min(c.work, float64(c.leaves)/float64(dfuvirtual.Millisecond))
 	}
 	speed := 1.0
 	if length := jumpLengths[s.scenario.Fault]; length > 0 {
@@ -144,8 +145,8 @@
 		idempotent: rng.Float64() < idempotentShare,
 		patient:    rng.Float64() >= impatientShare,
 	}
-	c.deadline = milliseconds(minPatience + (maxPatience-minPatience)*rng.Float64())
-	c.leaves = milliseconds(impatience * rng.Float64())
+	c.deadline = dfuvirtual.Milliseconds(minPatience + (maxPatience-minPatience)*rng.Float64())
+	c.leaves = dfuvirtual.Milliseconds(impatience * rng.Float64())
 	if c.patient {
 		c.leaves = c.deadline
 	}
@@ -156,17 +157,17 @@
 func (s *simulation) arrive(gap float64) {
 	c := s.draw(s.arrivals)
 	c.entry = s.entries[s.pickEntry()]
-	wait := milliseconds(gap * s.arrivals.ExpFloat64())
-	s.clock.after(wait, func() {
-		c.sent = s.clock.now
-		c.deadline += s.clock.now
-		c.leaves += s.clock.now
-		s.clock.after(s.clientDelay(), func() {
-			if c.leaves > s.clock.now {
+	wait := dfuvirtual.Milliseconds(gap * s.arrivals.ExpFloat64())
+	s.clock.After(wait, func() {
+		c.sent = s.clock.Now()
+		c.deadline += s.clock.Now()
+		c.leaves += s.clock.Now()
+		s.clock.After(s.clientDelay(), func() {
+			if c.leaves > s.clock.Now() {
 				c.entry.accept(c)
 			}
 		})
-		if s.clock.now < warmUp+measured {
+		if s.clock.Now() < warmUp+measured {
 			s.arrive(gap)
 		}
 	})
@@ -199,11 +200,11 @@
 			}
 		}
 		s.transmit(w.place, e.place, reportBytes, func() {
-			e.chooser.Report(s.clock.now.time(), w.member, load)
+			e.chooser.Report(s.clock.Now().Time(), w.member, load)
 		})
 	}
-	if s.clock.now < warmUp+measured {
-		s.clock.after(reportPeriod, func() { s.report(w) })
+	if s.clock.Now() < warmUp+measured {
+		s.clock.After(reportPeriod, func() { s.report(w) })
 	}
 }
 
@@ -216,7 +217,7 @@
 	}
 	far := a.call.entry.place.Region != a.worker.place.Region
 	var carried *dfuchoice.Load
-	now := s.clock.now.time()
+	now := s.clock.Now().Time()
 	carries := s.contender.TellAll || kind == dfuchoice.FeedbackRefused
 	if carries && a.worker.budget.Take(now, dfubudget.Spend{
 		Cause: dfubudget.CausePiggyback, Bytes: dfuchoice.LoadBytes(load), Link: far,
@@ -242,16 +243,16 @@
 		if s.linkCut {
 			return
 		}
-		free := max(s.linkFree[from.Region], s.clock.now) + milliseconds(float64(size)/linkBytesPerMillisecond)
+		free := max(s.linkFree[from.Region], s.clock.Now()) + dfuvirtual.Milliseconds(float64(size)/linkBytesPerMillisecond)
 		s.linkFree[from.Region] = free
-		delay = d.FarDelay + float64(free-s.clock.now)/float64(millisecond)
+		delay = d.FarDelay + float64(free-s.clock.Now())/float64(dfuvirtual.Millisecond)
 		if s.isMeasured() {
 			s.result.link += size
 		}
 	case from.Zone != to.Zone:
 		delay = d.RegionDelay
 	}
-	s.clock.after(milliseconds(delay*(0.9+0.2*s.network.Float64())), deliver)
+	s.clock.After(dfuvirtual.Milliseconds(delay*(0.9+0.2*s.network.Float64())), deliver)
 }
 
 // isCut reports whether messages between two places are lost.
@@ -261,12 +262,12 @@
 
 // isMeasured reports whether the warm-up is over and the end isn't reached.
 func (s *simulation) isMeasured() bool {
-	return s.clock.now >= warmUp && s.clock.now < warmUp+measured
+	return s.clock.Now() >= warmUp && s.clock.Now() < warmUp+measured
 }
 
 // clientDelay returns the delay between a caller and its entry node.
-func (s *simulation) clientDelay() instant {
-	return milliseconds(s.deployment.ClientDelay)
+func (s *simulation) clientDelay() dfuvirtual.Instant {
+	return dfuvirtual.Milliseconds(s.deployment.ClientDelay)
 }
 
 // noteWork accounts for the work that a run has taken.
--- a/measure/policy/worker.go
+++ b/measure/policy/worker.go
@@ -10,6 +10,7 @@
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/request/dfugate"
 	"dragonflyusher/core/request/dfuoutcome"
+	"dragonflyusher/measure/dfuvirtual"
 )
 
 // attempt is one sending of a call to a worker.
@@ -17,7 +18,7 @@
 	id     dfuident.RequestID
 	call   *call
 	worker *worker
-	sent   instant
+	sent   dfuvirtual.Instant
 	// wait says that the attempt waits for a slot if none is free.
 	wait bool
 	// noSlot says that it was refused for want of a slot in time.
@@ -37,11 +38,11 @@
 	place  dfuident.Place
 	slots  int
 	gate   *dfugate.Machine
-	// speed is the work in milliseconds done per millisecond; worked is the
+	// speed is the work in milliseconds done per dfuvirtual.Millisecond; worked is the
 	// work that one slot could have done until updated.
 	speed    float64
 	worked   float64
-	updated  instant
+	updated  dfuvirtual.Instant
 	version  uint64
 	attempts map[dfuident.RequestID]*attempt
 	running  []*attempt
@@ -71,8 +72,8 @@
 
 // advance brings the work scale up to now.
 func (w *worker) advance() {
-	w.worked += float64(w.sim.clock.now-w.updated) / float64(millisecond) * w.speed
-	w.updated = w.sim.clock.now
+	w.worked += float64(w.sim.clock.Now()-w.updated) / float64(dfuvirtual.Millisecond) * w.speed
+	w.updated = w.sim.clock.Now()
 }
 
 // setSpeed changes the speed of everything that runs.
@@ -90,8 +91,8 @@
 	}
 	next := slices.MinFunc(w.running, func(a, b *attempt) int { return cmp.Compare(a.finish, b.finish) })
 	version := w.version
-	wait := instant((next.finish-w.worked)/w.speed*float64(millisecond)) + 1
-	w.sim.clock.after(wait, func() {
+	wait := dfuvirtual.Instant((next.finish-w.worked)/w.speed*float64(dfuvirtual.Millisecond)) + 1
+	w.sim.clock.After(wait, func() {
 		if version == w.version {
 			w.finish()
 		}
@@ -133,18 +134,18 @@
 	case w.down:
 	case w.failing:
 		w.forget(a)
-		w.sim.clock.after(milliseconds(errorTime), func() {
+		w.sim.clock.After(dfuvirtual.Milliseconds(errorTime), func() {
 			w.sim.answer(a, dfuchoice.FeedbackTargetError, w.load())
 		})
 	case w.sim.contender.Refuse && !a.wait && (load.InFlight >= load.Slots || load.Queued > 0):
 		w.refuse(a, dfuoutcome.ReasonQueueFull)
 	default:
-		remaining := (a.call.deadline - w.sim.clock.now).duration()
+		remaining := (a.call.deadline - w.sim.clock.Now()).Duration()
 		w.attempts[a.id] = a
 		w.step(dfugate.Offer{
 			ID: a.id, Service: w.sim.deployment.Service, Remaining: remaining, Idempotent: a.call.idempotent,
 		})
-		w.sim.clock.after(instant(remaining+1)*millisecond, func() { w.step(dfugate.Tick{}) })
+		w.sim.clock.After(dfuvirtual.Instant(remaining+1)*dfuvirtual.Millisecond, func() { w.step(dfugate.Tick{}) })
 	}
 }
 
@@ -157,7 +158,7 @@
 // step gives the gate an event and does what it asks for.
 func (w *worker) step(event dfugate.Event) {
 	w.advance()
-	for _, action := range slices.Clone(w.gate.Step(w.sim.clock.now.time(), event)) {
+	for _, action := range slices.Clone(w.gate.Step(w.sim.clock.Now().Time(), event)) {
 		w.do(action)
 	}
 	w.schedule()
