core/request/dfugate: hold waiting requests back while neighbors slow the target down

Work takes as long as the pace says when it begins, so each held its slot five times as long as it would have after the spell. Change: the gate hands nothing over while the target tells that it is slow, for 600 ms at most, and asks it again every 20 ms while requests wait. What a target told holds for 20 ms instead of 40. TestRunsWaitForTheEndOfASpell compares with the earlier version. Users: a slot isn't blocked for a second by what takes a fifth of that a moment later.

--- a/core/request/dfugate/dispatch.go
+++ b/core/request/dfugate/dispatch.go
@@ -12,6 +12,9 @@
 // paused for any length of time.
 func (m *Machine) dispatch(now dfuclock.Time) {
 	m.shedLate(now)
+	if !m.mayDispatch(now) {
+		return
+	}
 	for len(m.running) < m.slots() {
 		r := m.next(now)
 		if r == nil {
--- a/core/request/dfugate/fullness.go
+++ b/core/request/dfugate/fullness.go
@@ -1,6 +1,7 @@
 package dfugate
 
 import (
+	"math"
 	"slices"
 
 	"dragonflyusher/core/process/dfuclock"
@@ -27,6 +28,9 @@
 	fullnessMedian = 0.5
 	// fullnessRatio is the ratio from which the target counts as slowed down.
 	fullnessRatio = 1.4
+	// fullnessScore is the least rank score: one that chance reaches about once in
+	// a thousand comparisons.
+	fullnessScore = 3.0
 	// fullnessSustained is how long the ratio has to be found.
 	fullnessSustained = dfuclock.Second
 	// fullnessSpacing is the least time between two of them. Runs that end
@@ -92,8 +96,12 @@
 }
 
 // slowed reports whether the target takes longer for the same when it is nearly full,
-// for short runs and for middling ones: a few short runs may be so by chance.
+// for short runs and for middling ones, and by more than chance explains: requests of
+// one kind may be very different.
 func (l *levels) slowed() bool {
+	if l.rankScore() < fullnessScore {
+		return false
+	}
 	for _, q := range []float64{fullnessQuantile, fullnessMedian} {
 		if l.nearly.quantile(q) < fullnessRatio*l.few.quantile(q) {
 			return false
@@ -102,6 +110,26 @@
 	return true
 }
 
+// rankScore compares the times of work at both levels by the rank-sum test of Mann and
+// Whitney: it returns by how many standard deviations those with nearly all slots taken
+// rank above what is expected if the level makes no difference.
+func (l *levels) rankScore() float64 {
+	above := 0.0
+	for _, a := range l.nearly.values[:l.nearly.n] {
+		for _, b := range l.few.values[:l.few.n] {
+			switch {
+			case a > b:
+				above++
+			case a == b:
+				above += 0.5
+			}
+		}
+	}
+	n, m := float64(l.nearly.n), float64(l.few.n)
+	const varianceParts = 12
+	return (above - n*m/2) / math.Sqrt(n*m*(n+m+1)/varianceParts)
+}
+
 // note learns from a finished run that began and ended while so many of the
 // slots were taken. Runs that began and ended at different levels say nothing.
 func (f *fullness) note(now dfuclock.Time, kind dfuident.Kind, slots, atStart, atEnd int, w workTime) {
--- a/core/request/dfugate/load_test.go
+++ b/core/request/dfugate/load_test.go
@@ -29,6 +29,9 @@
 	disturbed float64
 	// spread is how far the work of requests lies apart, as a share of its mean.
 	spread float64
+	// settled says that a run takes as long as the pace says when it begins, whatever
+	// neighbors do later.
+	settled bool
 	// limited counts the milliseconds in which the gate used fewer than all slots.
 	limited int
 
@@ -37,6 +40,9 @@
 	running map[dfuident.RequestID]float64
 }
 
+// slowFactor is how many times as long work takes while neighbors disturb the target.
+const slowFactor = 5
+
 // step advances the work by one millisecond and returns what is finished.
 func (s *simulatedTarget) step(now dfuclock.Time) []dfuident.RequestID {
 	if s.disturbed > 0 && !now.Before(s.until) {
@@ -48,8 +54,8 @@
 		s.until = now.Add(dfuclock.Duration(s.neighbors.ExpFloat64()*mean) + 1)
 	}
 	speed := 1.0
-	if s.slow {
-		speed /= 5
+	if s.slow && !s.settled {
+		speed /= slowFactor
 	}
 	if float64(len(s.running)) > s.knee*float64(s.slots) {
 		speed /= s.kneeFactor
@@ -92,6 +98,9 @@
 			switch a := a.(type) {
 			case dfugate.RunOnTarget:
 				s.running[a.ID] = 100 * (1 - s.spread/2 + s.spread*s.work.Float64())
+				if s.slow && s.settled {
+					s.running[a.ID] *= slowFactor
+				}
 			case dfugate.CancelOnTarget:
 				delete(s.running, a.ID)
 				step(dfugate.TargetFailed{ID: a.ID})
@@ -170,7 +179,7 @@
 // slots are used nearly all the time.
 func TestDisturbedTargetIsNotTakenForFull(t *testing.T) {
 	const length = 60_000
-	for seed := range uint64(5) {
+	for seed := range uint64(20) {
 		s := &simulatedTarget{
 			neighbors: rand.New(rand.NewPCG(seed, 1)), work: rand.New(rand.NewPCG(seed, 2)),
 			slots: 9, knee: 1, disturbed: 0.35, spread: 1.4,
@@ -181,6 +190,29 @@
 	}
 }
 
+// Waiting for the end of a spell: where a run takes as long as the target's pace says
+// when it begins, the gate that holds requests back while neighbors slow the target
+// down answers more of them within the time wanted than the earlier one, which filled
+// free slots at any time.
+func TestRunsWaitForTheEndOfASpell(t *testing.T) {
+	const length = 60_000
+	for seed := range uint64(3) {
+		is := is.New(t)
+		inTime := func(ignorePace bool) int {
+			cfg := dfugate.DefaultConfig()
+			cfg.IgnorePace = ignorePace
+			_, n := overload(cfg, &simulatedTarget{
+				neighbors: rand.New(rand.NewPCG(seed, 1)), work: rand.New(rand.NewPCG(seed, 2)),
+				slots: 12, knee: 1, disturbed: 0.25, spread: 0.6, settled: true,
+			}, length, wanted)
+			return n
+		}
+		before, after := inTime(true), inTime(false)
+		t.Logf("seed %d: %d in time from any moment on, %d from calm ones", seed, before, after)
+		is.True(after*100 >= before*125) // more by the share of the time that is slow
+	}
+}
+
 // Earliest deadline first with admission control: under overload the gate that
 // goes by objectives answers several times as many requests within the time
 // wanted as the earlier one, which goes by deadlines and fills them up with
--- a/core/request/dfugate/machine.go
+++ b/core/request/dfugate/machine.go
@@ -206,7 +206,7 @@
 	case TargetTold:
 		m.targetTold(now, e.Load)
 	case TargetSilent:
-		m.targetSilent()
+		m.targetSilent(now)
 	case TargetAnnounced:
 		m.targetAnnounced(e)
 	case TargetWithdrawn:
@@ -242,15 +242,19 @@
 
 // Next returns when the next Tick is due, if one is.
 func (m *Machine) Next() (dfuclock.Time, bool) {
-	body, due := m.bodies.next()
-	if m.timers.Len() == 0 {
-		return body, due
+	next, due := m.bodies.next()
+	sooner := func(t dfuclock.Time) {
+		if !due || t < next {
+			next, due = t, true
+		}
 	}
-	deadline := m.timers.First().deadline
-	if due {
-		deadline = min(deadline, body)
+	if m.timers.Len() > 0 {
+		sooner(m.timers.First().deadline)
 	}
-	return deadline, true
+	if m.pace.askAt != 0 {
+		sooner(m.pace.askAt)
+	}
+	return next, due
 }
 
 // Load returns the present load.
--- a/core/request/dfugate/pace.go
+++ b/core/request/dfugate/pace.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// paceLifetime is how long what a target tells of its pace is taken to hold.
-	// Neighbors on its VM slow a target down for some 150 ms at a time.
-	paceLifetime = 40 * dfuclock.Millisecond
+	// paceLifetime is how long what a target tells of its pace is taken to hold: a
+	// small part of the 150 ms for which neighbors on its VM slow it down at a time.
+	paceLifetime = 20 * dfuclock.Millisecond
 	// slowPercent is the time of work, in percent of the usual, from which a
 	// target counts as slow.
 	slowPercent = 200
@@ -20,6 +20,12 @@
 	baseSpan = dfuclock.Second
 	// usualPercent is the time of work at the usual pace.
 	usualPercent = 100
+	// askInterval is how often a target that is slow is asked again while requests
+	// wait for it: a seventh of a spell, so that little of the calm is missed.
+	askInterval = 20 * dfuclock.Millisecond
+	// holdSlow is how long requests wait for a spell to end: four spells that follow
+	// each other at once, which is rare where a third of the time is slow.
+	holdSlow = 600 * dfuclock.Millisecond
 )
 
 // pace is what the target told last of how long its work takes at the moment.
@@ -34,8 +40,14 @@
 	// the former span of baseSpan, spanBegan is when the present one began.
 	least, leastBefore int
 	spanBegan          dfuclock.Time
-	// asked says that the target has been asked and has not answered yet.
+	// asked says that the target has been asked and has not answered yet, askAt when
+	// it is asked again, or zero.
 	asked bool
+	askAt dfuclock.Time
+	// silentAt is when the target last did not answer, or zero.
+	silentAt dfuclock.Time
+	// slowSince is since when all that the target told was slow, or zero.
+	slowSince dfuclock.Time
 }
 
 // fresh reports whether the pace still holds.
@@ -85,11 +97,55 @@
 		p.spanBegan = now
 	}
 	p.least = min(p.least, slowdown)
-	if p.slow() {
+	switch {
+	case !p.slow():
+		p.slowSince = 0
+	case p.slowSince == 0:
+		p.slowSince = now
+		fallthrough
+	default:
 		p.disturbances++
 	}
 }
 
+// holds reports whether waiting requests are to be held back: the target is slow, and
+// what begins now takes several times as long in its slot as after the spell.
+func (p *pace) holds(now dfuclock.Time) bool {
+	return p.slow() && p.slowSince != 0 && now.Sub(p.slowSince) < holdSlow
+}
+
+// mayDispatch reports whether waiting requests may be handed over, and asks the target
+// for its pace where that decides.
+func (m *Machine) mayDispatch(now dfuclock.Time) bool {
+	p := &m.pace
+	p.askAt = 0
+	unknown := !p.fresh(now) && (p.silentAt == 0 || now.Sub(p.silentAt) > paceLifetime)
+	switch {
+	case !p.told || m.queue.length == 0 || len(m.running) >= m.slots():
+		return true
+	case unknown:
+		m.ask()
+		return false
+	case p.fresh(now) && p.holds(now):
+		if next := p.at.Add(askInterval); now.Before(next) {
+			p.askAt = next
+		} else {
+			m.ask()
+		}
+		return false
+	default:
+		return true
+	}
+}
+
+// ask asks the target for its load unless it is being asked.
+func (m *Machine) ask() {
+	if !m.pace.asked {
+		m.pace.asked = true
+		m.emit(AskTarget{})
+	}
+}
+
 // enqueueOnceTold lets a request in that looks for a target with a free slot. If
 // the target's pace isn't known, the request first waits until the target has
 // been asked, since its entry node may find a faster one.
@@ -100,21 +156,19 @@
 	}
 	r.state = stateAsking
 	m.asking = append(m.asking, r)
-	if !m.pace.asked {
-		m.pace.asked = true
-		m.emit(AskTarget{})
-	}
+	m.ask()
 }
 
 // targetTold takes the target's load and decides on the requests that wait for
 // it.
 func (m *Machine) targetTold(now dfuclock.Time, load TargetLoad) {
 	m.pace.asked = false
+	m.pace.silentAt = 0
 	if load.Slowdown > 0 && !m.cfg.IgnorePace {
 		m.pace.note(now, load.Slowdown)
 	}
 	if !m.pace.slow() {
-		m.targetSilent()
+		m.letIn()
 		return
 	}
 	for _, r := range slices.Clone(m.asking) {
@@ -123,8 +177,14 @@
 }
 
 // targetSilent lets in the requests that wait for the target's load.
-func (m *Machine) targetSilent() {
+func (m *Machine) targetSilent(now dfuclock.Time) {
 	m.pace.asked = false
+	m.pace.silentAt = now
+	m.letIn()
+}
+
+// letIn lets in the requests that wait for the target's load.
+func (m *Machine) letIn() {
 	for _, r := range m.asking {
 		m.enqueue(r)
 	}
