--- a/core/request/dfugate/target.go
+++ b/core/request/dfugate/target.go
@@ -13,6 +13,11 @@
 	scaled int64
 }
 
+// coldParts is the inverse of the share of its slots that a target which has just
+// started is given at once. Where all targets have started, as after a loss of power,
+// fewer would only let their callers wait.
+const coldParts = 2
+
 const (
 	meanScale = 16
 	// meanWeight is the inverse weight of a new sample.
@@ -111,8 +116,11 @@
 	if !m.target.up || m.target.warm >= m.target.slots {
 		m.target.warm = e.Slots
 	}
+	if !m.target.up {
+		m.ask()
+	}
 	if !m.target.up && e.Cold {
-		m.target.warm = 1
+		m.target.warm = max(1, e.Slots/coldParts)
 	}
 	m.target.up = true
 	m.target.service = e.Service
