--- a/standin/dfurelaystandin/copy.go
+++ b/standin/dfurelaystandin/copy.go
@@ -20,20 +20,25 @@
 	due  time.Time
 }
 
+// stallCheck is how often a direction that is held back looks whether it still is.
+const stallCheck = 5 * time.Millisecond
+
 // copy moves data from one connection to another, each chunk after the delay,
-// until either fails. Data of a silent pair is lost.
-func (p *pair) copy(to, from net.Conn) {
+// until either fails. Data of a silent pair is lost. What is held back arrives once it
+// no longer is, as after the retransmissions of TCP.
+func (p *pair) copy(to, from net.Conn, disturbance func() (time.Duration, bool)) {
 	chunks := make(chan chunk, chunksInFlight)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		p.write(to, chunks)
+		p.write(to, chunks, disturbance)
 	}()
 	for {
 		data := make([]byte, chunkBytes)
 		n, err := from.Read(data)
 		if n > 0 {
-			chunks <- chunk{data[:n], time.Now().Add(p.delay)}
+			extra, _ := disturbance()
+			chunks <- chunk{data[:n], time.Now().Add(p.delay + extra)}
 		}
 		if err != nil {
 			break
@@ -44,10 +49,13 @@
 	p.endUnlessSilent()
 }
 
-func (p *pair) write(to net.Conn, chunks <-chan chunk) {
+func (p *pair) write(to net.Conn, chunks <-chan chunk, disturbance func() (time.Duration, bool)) {
 	failed := false
 	for c := range chunks {
 		time.Sleep(time.Until(c.due))
+		for _, held := disturbance(); held && !failed; _, held = disturbance() {
+			time.Sleep(stallCheck)
+		}
 		select {
 		case <-p.silent:
 			continue
--- a/standin/dfurelaystandin/relay.go
+++ b/standin/dfurelaystandin/relay.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"dragonflyusher/core/process/dfuclock"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -43,20 +45,35 @@
 // Fault is something wrong between two zones, regions or addresses, in both
 // directions. An empty name means any.
 type Fault struct {
-	// Kind is cut, silent or heal. Cut ends connections and refuses new ones
-	// until heal; silent lets the open connections go silent for good.
-	Kind string `json:"kind"`
-	A    string `json:"a"`
-	B    string `json:"b"`
+	// Kind is cut, silent, reset, stall, delay or heal. Cut ends connections and
+	// refuses new ones until heal; silent lets the open connections go silent for
+	// good; reset ends the open ones. Until heal, stall holds back what goes from A
+	// to B, and delay lets everything between them take Delay longer.
+	Kind  string            `json:"kind"`
+	A     string            `json:"a"`
+	B     string            `json:"b"`
+	Delay dfuclock.Duration `json:"delay_ms"`
 }
 
+// The kinds of faults.
+const (
+	FaultCut    = "cut"
+	FaultSilent = "silent"
+	FaultReset  = "reset"
+	FaultStall  = "stall"
+	FaultDelay  = "delay"
+	FaultHeal   = "heal"
+)
+
 // Relay is one running relay.
 type Relay struct {
 	cfg       Config
 	listeners []net.Listener
+	server    *http.Server
 	mu        sync.Mutex
-	cuts      []Fault
-	pairs     map[*pair]struct{}
+	// cuts, stalls and delays hold until heal.
+	cuts, stalls, delays []Fault
+	pairs                map[*pair]struct{}
 }
 
 // pair is one relayed connection.
@@ -77,6 +94,7 @@
 // New opens the listeners of every route.
 func New(cfg Config) (*Relay, error) {
 	r := &Relay{cfg: cfg, pairs: map[*pair]struct{}{}}
+	r.server = &http.Server{Addr: cfg.Admin, Handler: http.HandlerFunc(r.admin), ReadHeaderTimeout: time.Second}
 	for _, route := range cfg.Routes {
 		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", route.Listen)
 		if err != nil {
@@ -87,13 +105,12 @@
 	return r, nil
 }
 
-// Run relays until the admin listener fails.
+// Run relays until the admin listener fails or the relay is closed.
 func (r *Relay) Run() error {
 	for i, l := range r.listeners {
 		go r.accept(l, r.cfg.Routes[i])
 	}
-	server := &http.Server{Addr: r.cfg.Admin, Handler: http.HandlerFunc(r.admin), ReadHeaderTimeout: time.Second}
-	return server.ListenAndServe()
+	return r.server.ListenAndServe()
 }
 
 func (r *Relay) accept(l net.Listener, route Route) {
@@ -122,8 +139,8 @@
 	}
 	defer r.remove(p)
 	var wg sync.WaitGroup
-	wg.Go(func() { p.copy(far, near) })
-	wg.Go(func() { p.copy(near, far) })
+	wg.Go(func() { p.copy(far, near, func() (time.Duration, bool) { return r.disturbance(p.from, p.to) }) })
+	wg.Go(func() { p.copy(near, far, func() (time.Duration, bool) { return r.disturbance(p.to, p.from) }) })
 	wg.Wait()
 }
 
@@ -171,16 +188,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch f.Kind {
-	case "heal":
-		r.cuts = nil
-	case "cut":
+	case FaultHeal:
+		r.cuts, r.stalls, r.delays = nil, nil, nil
+	case FaultCut:
 		r.cuts = append(r.cuts, f)
-		for p := range r.pairs {
-			if f.concerns(p) {
-				p.close()
-			}
-		}
-	case "silent":
+		r.closePairs(f)
+	case FaultReset:
+		r.closePairs(f)
+	case FaultStall:
+		r.stalls = append(r.stalls, f)
+	case FaultDelay:
+		r.delays = append(r.delays, f)
+	case FaultSilent:
 		for p := range r.pairs {
 			if f.concerns(p) {
 				p.silentOnce.Do(func() { close(p.silent) })
@@ -192,6 +211,31 @@
 	return nil
 }
 
+// closePairs ends the open connections that a fault concerns. The mutex is held.
+func (r *Relay) closePairs(f Fault) {
+	for p := range r.pairs {
+		if f.concerns(p) {
+			p.close()
+		}
+	}
+}
+
+// disturbance returns how much longer what goes from one end to another takes, and
+// whether it is held back.
+func (r *Relay) disturbance(from, to end) (delay time.Duration, held bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, f := range r.stalls {
+		held = held || from.is(f.A) && to.is(f.B)
+	}
+	for _, f := range r.delays {
+		if from.is(f.A) && to.is(f.B) || from.is(f.B) && to.is(f.A) {
+			delay += f.Delay.Std()
+		}
+	}
+	return delay, held
+}
+
 func (f Fault) concerns(p *pair) bool {
 	return (p.from.is(f.A) && p.to.is(f.B)) || (p.from.is(f.B) && p.to.is(f.A))
 }
@@ -204,3 +248,16 @@
 	p.near.Close()
 	p.far.Close()
 }
+
+// Close ends the relay: its listeners and all connections.
+func (r *Relay) Close() {
+	for _, l := range r.listeners {
+		l.Close()
+	}
+	r.server.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.pairs {
+		p.close()
+	}
+}
