--- /dev/null
+++ b/io/process/dfunode/instance_test.go
@@ -0,0 +1,25 @@
+package dfunode
+
+import (
+	"net/netip"
+	"testing"
+
+	"dragonflyusher/core/process/dfuident"
+)
+
+// FuzzAnnouncement looks for announcements that make the decoding panic, or that are
+// taken though they name no target that could be used.
+func FuzzAnnouncement(f *testing.F) {
+	f.Add("i-1", []byte(`{"service":"lager","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready","cold_remaining_ms":0,"sequence":1,"born":100}`))
+	f.Add("i-1", []byte(`{"service":7,"address":null,"slots":-1,"state":"asleep","born":"now"}`))
+	f.Add("", []byte(`[`))
+	f.Fuzz(func(t *testing.T, instance string, data []byte) {
+		a, err := parseInstance(dfuident.Instance(instance), data)
+		if err != nil {
+			return
+		}
+		if _, err := netip.ParseAddrPort(string(a.Address)); err != nil || a.Service == "" || a.Instance == "" || a.Slots <= 0 || a.ColdFor < 0 {
+			t.Fatalf("%+v is taken", a)
+		}
+	})
+}
