--- a/measure/cmd/emulate/report.go
+++ b/measure/cmd/emulate/report.go
@@ -7,7 +7,6 @@
 	"path/filepath"
 	"strings"
 
-	"dragonflyusher/measure/dfuexperiment"
 	"dragonflyusher/measure/dfureport"
 
 	"github.com/cockroachdb/errors"
@@ -15,25 +14,19 @@
 
 // reportCommand writes a table and plots into a directory.
 type reportCommand struct {
-	source
-	Only []string `long:"only" description:"play this scheduler only; may be repeated"`
-	Out  string   `long:"out" default:"target/report" description:"directory for report.md and the plots"`
+	comparison
+	Out string `long:"out" default:"target/report" description:"directory for report.md and the plots"`
 }
 
 // Execute implements flags.Commander.
 func (c *reportCommand) Execute([]string) error {
-	scenarios, err := c.load()
-	if err != nil {
-		return err
-	}
-	schedulers, err := pickSchedulers(c.Only)
+	scenarios, schedulers, outcomes, err := c.play()
 	if err != nil {
 		return err
 	}
 	if err := os.MkdirAll(c.Out, 0o755); err != nil {
 		return errors.Wrap(err, "make the report's directory")
 	}
-	outcomes := dfuexperiment.Run(scenarios, schedulers, c.Seeds)
 	var names, schedulerNames []string
 	for _, s := range scenarios {
 		names = append(names, s.Name)
--- a/measure/cmd/emulate/scenarios.go
+++ b/measure/cmd/emulate/scenarios.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"dragonflyusher/measure/dfuemulator"
+	"dragonflyusher/measure/dfuexperiment"
+	"dragonflyusher/measure/dfureport"
 	"dragonflyusher/measure/dfuscenario"
 
 	"github.com/cockroachdb/errors"
@@ -79,3 +81,31 @@
 	}
 	return picked, nil
 }
+
+// comparison is a source with the schedulers to compare.
+type comparison struct {
+	source
+	Only []string `long:"only" description:"play this scheduler only; may be repeated"`
+}
+
+// play plays the scenarios with the schedulers, and returns both.
+func (c *comparison) play() ([]*dfuscenario.Scenario, []dfuemulator.Scheduler, []dfuexperiment.Outcome, error) {
+	scenarios, err := c.load()
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	schedulers, err := pickSchedulers(c.Only)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	return scenarios, schedulers, dfuexperiment.Run(scenarios, schedulers, c.Seeds), nil
+}
+
+// show prints the figures of outcomes and the mean worth of each scheduler.
+func show(outcomes []dfuexperiment.Outcome) error {
+	if err := dfureport.Table(os.Stdout, outcomes); err != nil {
+		return err
+	}
+	fmt.Println()
+	return dfureport.Means(os.Stdout, outcomes)
+}
--- a/measure/cmd/emulate/vary.go
+++ b/measure/cmd/emulate/vary.go
@@ -2,11 +2,9 @@
 
 import (
 	"fmt"
-	"os"
 
 	"dragonflyusher/measure/dfuemulator"
 	"dragonflyusher/measure/dfuexperiment"
-	"dragonflyusher/measure/dfureport"
 
 	"github.com/cockroachdb/errors"
 )
@@ -37,10 +35,5 @@
 	if err != nil {
 		return err
 	}
-	outcomes := dfuexperiment.Run(scenarios, schedulers, c.Seeds)
-	if err := dfureport.Table(os.Stdout, outcomes); err != nil {
-		return err
-	}
-	fmt.Println()
-	return dfureport.Means(os.Stdout, outcomes)
+	return show(dfuexperiment.Run(scenarios, schedulers, c.Seeds))
 }
