io/request/dfuadmission: ask only targets that tell their load, once their path is known

Cause: since gates ask a target for its pace when it appears, native targets got a GET /health that their protocol doesn't know, and on the platform the question went to a default path while the routes weren't known. Ruled out: a second attempt of the call (one attempt in the log). Change: native targets are never asked. The question waits until the routes are known, before which no request comes. The audit of all fleet sessions fails on a run without a request id: so it did on the code before (target lager-1 ran /health).

--- a/io/process/dfunode/fleet_test.go
+++ b/io/process/dfunode/fleet_test.go
@@ -726,6 +726,9 @@
 func (f *fleet) audit() {
 	keys, begun, ids := map[string]int{}, map[string]bool{}, map[string]bool{}
 	for _, e := range f.effects() {
+		if e.RequestID == "" {
+			f.ts.Fatalf("target %s ran %s, which is no request of anybody", e.Target, e.URI)
+		}
 		if e.Event != dfutargetstandin.EffectStarted {
 			continue
 		}
--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -365,6 +365,7 @@
 		Machine: dfugate.New(n.gateConfig(), self),
 		Tell:    news.tell,
 
+		TellsLoad:  n.adapters.Routed,
 		HealthPath: n.healthPath,
 	})
 	chooser := dfuchoice.New(n.chooserSettings(), newRand())
@@ -473,7 +474,11 @@
 // healthPath returns the path at which the target beside the node tells its
 // load.
 func (n *Node) healthPath() string {
-	s, ok := n.control.View().Routes().Service(n.localService())
+	table := n.control.View().Routes()
+	if table == nil {
+		return ""
+	}
+	s, ok := table.Service(n.localService())
 	if !ok || s.HealthPath == "" {
 		return defaultHealthPath
 	}
--- a/io/request/dfuadmission/duty.go
+++ b/io/request/dfuadmission/duty.go
@@ -30,7 +30,11 @@
 	Region  dfuident.Region
 	Claims  Claims
 	Machine *dfugate.Machine
-	// HealthPath returns the path at which the target tells its load.
+	// TellsLoad says that the target may be asked for its load, which is no part of
+	// the native protocol.
+	TellsLoad bool
+	// HealthPath returns the path at which the target tells its load; it is empty
+	// while the routes aren't known.
 	HealthPath func() string
 	// Tell sends what peers should know of crashes.
 	Tell func(dfugate.Action)
@@ -182,7 +186,7 @@
 			r.cancel()
 		}
 	case dfugate.AskTarget:
-		go d.askTarget(d.client)
+		go d.askTarget()
 	case dfugate.AskBody:
 		d.askBody(a.ID)
 	case dfugate.AskClaim:
--- a/io/request/dfuadmission/target.go
+++ b/io/request/dfuadmission/target.go
@@ -38,13 +38,39 @@
 // a question at once.
 const askTimeout = 20 * time.Millisecond
 
+// healthPathPoll is how often a question that waits for the routes looks for them: no
+// request comes before.
+const healthPathPoll = 100 * time.Millisecond
+
+// awaitHealthPath returns where the target tells its load, once the routes are known, or
+// nothing if the node stops before.
+func (d *Duty) awaitHealthPath() string {
+	for {
+		path := d.deps.HealthPath()
+		d.mu.Lock()
+		stopped := d.stopped
+		d.mu.Unlock()
+		if path != "" || stopped {
+			return path
+		}
+		time.Sleep(healthPathPoll)
+	}
+}
+
 // askTarget asks the target for its load.
-func (d *Duty) askTarget(client *dfutarget.Client) {
+func (d *Duty) askTarget() {
 	var event dfugate.Event = dfugate.TargetSilent{}
-	if client != nil {
+	path := ""
+	if d.deps.TellsLoad {
+		path = d.awaitHealthPath()
+	}
+	d.mu.Lock()
+	client := d.client
+	d.mu.Unlock()
+	if path != "" && client != nil {
 		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 		defer cancel()
-		load, err := client.Ask(ctx, d.deps.HealthPath())
+		load, err := client.Ask(ctx, path)
 		if err == nil {
 			event = dfugate.TargetTold{Load: load}
 		} else {
