--- a/io/process/dfunode/fleet_test.go
+++ b/io/process/dfunode/fleet_test.go
@@ -301,10 +301,6 @@
 	return addresses
 }
 
-// awaitURI is what await calls. On a busy machine such a call may be tried again at
-// another target, which cancels its first run.
-const awaitURI = "/await"
-
 // await waits until every node, or those after "at", answers for the services.
 func (f *fleet) await(args []string) {
 	nodes := f.addresses()
@@ -316,7 +312,7 @@
 		args = args[:i]
 	}
 	err := dfucallerstandin.Wait(dfucallerstandin.Config{
-		Nodes: nodes, Services: args, DeadlineMS: 5000, URI: awaitURI,
+		Nodes: nodes, Services: args, DeadlineMS: 5000, URI: "/await",
 	}, patience)
 	if err != nil {
 		f.showLogs()
@@ -403,8 +399,7 @@
 	f.ts.Fatalf("%s does not avoid %s", node, peer)
 }
 
-// reach waits until the effect logs hold a number of events of the script's own calls:
-// "reach EVENT N".
+// reach waits until the effect logs hold a number of events: "reach EVENT N".
 func (f *fleet) reach(event, number string) {
 	want, err := strconv.Atoi(number)
 	f.ts.Check(err)
@@ -567,7 +562,7 @@
 func (f *fleet) count(event dfutargetstandin.EffectEvent) int {
 	n := 0
 	for _, e := range f.effects() {
-		if e.Event == event && e.URI != awaitURI {
+		if e.Event == event {
 			n++
 		}
 	}
