--- a/io/process/dfunode/fleet_test.go
+++ b/io/process/dfunode/fleet_test.go
@@ -56,13 +56,20 @@
 var fleetMutex sync.Mutex
 
 // reserveOctet returns an octet that no other running test uses, also in another
-// process. The octet stays reserved while the returned listener is open.
+// process, and at which no process serves a store that a test left behind. The octet
+// stays reserved while the returned listener is open.
 func reserveOctet() (string, net.Listener) {
 	for octet := firstOctet; octet <= lastOctet; octet++ {
 		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.2:7999", octet))
+		if err != nil {
+			continue
+		}
+		store, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:7000", octet))
 		if err == nil {
+			_ = store.Close()
 			return strconv.Itoa(octet), l
 		}
+		_ = l.Close()
 	}
 	return "", nil
 }
@@ -93,6 +100,9 @@
 			"settle":     func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).settle(args[0]) },
 			"persist":    func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).persist(args) },
 			"calls":      func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).calls(args) },
+			"crash":      func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).crash(args) },
+			"revive":     func(ts *testscript.TestScript, _ bool, _ []string) { fleetOf(ts).revive() },
+			"pipeline":   func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).pipeline(args) },
 			"signal":     func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).signal(args[0], args[1:]) },
 			"restart":    func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).restart(args) },
 			"network":    func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).network(args) },
@@ -269,6 +279,9 @@
 	defer log.Close()
 	cmd := exec.Command(filepath.Join(f.bin, program), args...)
 	cmd.Stderr = log
+	// The processes end with the test, also if it is killed. Otherwise they would answer
+	// at the addresses of a later test.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	f.ts.Check(cmd.Start())
 	f.procs[name] = cmd
 }
@@ -424,6 +437,73 @@
 	f.ts.Fatalf("got %d events %s, want %d", got, event, want)
 }
 
+// crash repeats a call until N targets have crashed: "crash NODE SERVICE URI N". One
+// call crashes a second target only if the node's budget allows a retry.
+func (f *fleet) crash(args []string) {
+	want, err := strconv.Atoi(args[3])
+	f.ts.Check(err)
+	deadline := time.Now().Add(waitTimeout)
+	for f.count(dfutargetstandin.EffectCrashed) < want {
+		if time.Now().After(deadline) {
+			f.ts.Fatalf("%s has not crashed %d targets", args[2], want)
+		}
+		f.try(args[:3])
+	}
+	f.appendTranscript("%d crashed", f.count(dfutargetstandin.EffectCrashed))
+}
+
+// revive restarts the targets that have crashed.
+func (f *fleet) revive() {
+	for _, e := range f.effects() {
+		if e.Event == dfutargetstandin.EffectCrashed {
+			f.restart([]string{"target-" + e.Target})
+		}
+	}
+}
+
+// pipeline sends requests on one connection before the first is answered, and reads
+// the answers in order: "pipeline NODE SERVICE URI... [abandon=MS]". With abandon, it
+// closes the connection after that time.
+func (f *fleet) pipeline(args []string) {
+	uris := args[2:]
+	last, isAbandoned := strings.CutPrefix(uris[len(uris)-1], "abandon=")
+	if isAbandoned {
+		uris = uris[:len(uris)-1]
+	}
+	conn, err := net.Dial("tcp", f.member(args[0]).address+":7100")
+	f.ts.Check(err)
+	defer conn.Close()
+	f.ts.Check(conn.SetDeadline(time.Now().Add(waitTimeout)))
+	var requests strings.Builder
+	for _, uri := range uris {
+		fmt.Fprintf(&requests, "GET %s HTTP/1.1\r\nHost: a\r\nDragonflyusher-Service: %s\r\nDragonflyusher-Deadline-Ms: 20000\r\n\r\n", uri, args[1])
+	}
+	_, err = io.WriteString(conn, requests.String())
+	f.ts.Check(err)
+	if isAbandoned {
+		ms, err := strconv.Atoi(last)
+		f.ts.Check(err)
+		time.Sleep(time.Duration(ms) * time.Millisecond)
+		f.appendTranscript("pipeline of %d abandoned", len(uris))
+		return
+	}
+	r := bufio.NewReader(conn)
+	for range uris {
+		f.readPipelined(r)
+	}
+}
+
+// readPipelined reads one answer and writes its outcome and the URI that the target
+// reports to the transcript.
+func (f *fleet) readPipelined(r *bufio.Reader) {
+	resp, err := http.ReadResponse(r, nil)
+	f.ts.Check(err)
+	defer resp.Body.Close()
+	var report dfutargetstandin.Report
+	f.ts.Check(json.NewDecoder(resp.Body).Decode(&report))
+	f.appendTranscript("pipelined %s: %d %s", report.URI, resp.StatusCode, resp.Header.Get("Dragonflyusher-Outcome"))
+}
+
 // settle waits until the claim table of a service has not changed for
 // claimsStableTime, so that each shard has an up-to-date copy holder.
 func (f *fleet) settle(service string) {
--- a/io/request/dfuadmission/controller.go
+++ b/io/request/dfuadmission/controller.go
@@ -72,8 +72,10 @@
 	sealReply *dfumessage.SealReply
 	replies   *replyCache
 	client    *dfutarget.Client
-	draining  bool
-	drained   bool
+	// rechecking is set while a check whether the target has crashed is due.
+	rechecking bool
+	draining   bool
+	drained    bool
 	// refused counts the offers that got no answer, by reason.
 	refused   map[dfuoutcome.Reason]int64
 	measuring *dfubudget.MeasuringBudget
--- a/io/request/dfuadmission/target.go
+++ b/io/request/dfuadmission/target.go
@@ -7,6 +7,7 @@
 	"dragonflyusher/core/request/dfugate"
 	"dragonflyusher/io/connection/dfutarget"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 )
 
@@ -122,5 +123,30 @@
 	}
 	if crashed {
 		c.step(dfugate.TargetCrashed{})
+	} else if instr.ctx.Err() == nil && errors.Is(targetErr, dfutarget.ErrInterrupted) {
+		c.recheckTarget(instr.client)
 	}
 }
+
+// crashRecheckDelay is the delay before the second check of a target that accepted a
+// connection just after it had cut off a run. A process that exits may close its
+// connections before its listener.
+const crashRecheckDelay = 50 * time.Millisecond
+
+// recheckTarget checks once more whether the target that cut off a run has crashed.
+// Checks that overlap count as one. The caller must hold c.mu.
+func (c *Controller) recheckTarget(client *dfutarget.Client) {
+	if c.rechecking {
+		return
+	}
+	c.rechecking = true
+	time.AfterFunc(crashRecheckDelay, func() {
+		reachable := client.Reachable()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.rechecking = false
+		if !reachable && client == c.client {
+			c.step(dfugate.TargetCrashed{})
+		}
+	})
+}
