--- a/core/version/dfurecord/exchange.go
+++ b/core/version/dfurecord/exchange.go
@@ -38,6 +38,15 @@
 	// larger zone.
 	QuietPeriod dfuclock.Duration
 	QuietStep   dfuclock.Duration
+	// WatchWait is how long a watch of the store waits for a change. It is added to the
+	// age above, since a copy is confirmed only when a watch ends.
+	WatchWait dfuclock.Duration
+	// FirstReadDelay is how long after its first tick a node without a complete copy
+	// relies on its peers for it.
+	FirstReadDelay dfuclock.Duration
+	// FirstComparePeriod is how often a node without a complete copy compares with
+	// another peer; zero if it compares only when its peers change or contact it.
+	FirstComparePeriod dfuclock.Duration
 	// ReadSpread times the number of nodes in the zone is added to the interval
 	// over which these nodes spread their reads.
 	ReadSpread dfuclock.Duration
@@ -92,9 +101,11 @@
 	// known to have matched the store.
 	confirmedTimes map[string]dfuclock.Time
 	synced         bool
-	changedAt      dfuclock.Time
-	nextCompareAt  dfuclock.Time
-	nextReadAt     dfuclock.Time
+	// startedAt is the time of the first tick; zero before it.
+	startedAt     dfuclock.Time
+	changedAt     dfuclock.Time
+	nextCompareAt dfuclock.Time
+	nextReadAt    dfuclock.Time
 	// nextMaybeDeletedReadAt is the earliest time at which a MaybeDeleted
 	// record makes the node read the store again.
 	nextMaybeDeletedReadAt dfuclock.Time
@@ -195,11 +206,25 @@
 // tick sends the remaining advert rounds, retries fetches, and requests a store
 // read if the copy has gone unconfirmed for too long.
 func (x *Exchange) tick(now dfuclock.Time) {
+	if x.startedAt == 0 {
+		x.startedAt = now
+	}
 	x.advertise()
+	x.compareUntilSynced(now)
 	x.retryFetches(now)
 	x.readIfTooOld(now)
 }
 
+// compareUntilSynced compares with another peer if the node has no complete copy yet.
+func (x *Exchange) compareUntilSynced(now dfuclock.Time) {
+	if x.synced || x.cfg.FirstComparePeriod == 0 || now.Before(x.nextCompareAt) {
+		return
+	}
+	for _, p := range x.pickGossipPeers(1) {
+		x.compare(now, p)
+	}
+}
+
 // retryFetches drops the fetches whose deadline has passed and sends them to
 // the alternative peer, if there is one.
 func (x *Exchange) retryFetches(now dfuclock.Time) {
@@ -227,7 +252,7 @@
 // delayed at random, since the copies of all other nodes in the zone become too
 // old at the same time.
 func (x *Exchange) readIfTooOld(now dfuclock.Time) {
-	if x.peers.Watcher || !x.tooOld(now) {
+	if x.peers.Watcher || !x.tooOld(now) || now.Sub(x.startedAt) < x.cfg.FirstReadDelay {
 		x.nextReadAt = 0
 		return
 	}
@@ -243,7 +268,7 @@
 
 func (x *Exchange) tooOld(now dfuclock.Time) bool {
 	at, ok := x.confirmedAt()
-	return !ok || now.Sub(at) > x.maxAge()
+	return !ok || now.Sub(at) > x.maxAge()+x.cfg.WatchWait
 }
 
 func (x *Exchange) maxAge() dfuclock.Duration {
@@ -344,7 +369,11 @@
 
 func (x *Exchange) compare(now dfuclock.Time, peer Peer) {
 	x.counts.Compares++
-	x.nextCompareAt = now.Add(x.cfg.ComparePeriod)
+	period := x.cfg.ComparePeriod
+	if !x.synced && x.cfg.FirstComparePeriod > 0 {
+		period = x.cfg.FirstComparePeriod
+	}
+	x.nextCompareAt = now.Add(period)
 	x.emit(Send{To: peer, Message: Message{Kind: CompareRequest, From: x.self, Buckets: x.set.Buckets()}})
 }
 
--- a/core/version/dfuroster/address_test.go
+++ b/core/version/dfuroster/address_test.go
@@ -6,6 +6,7 @@
 
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/process/dfumembership"
+	"dragonflyusher/core/version/dfurecord"
 	"dragonflyusher/core/version/dfuroster"
 
 	"github.com/matryer/is"
@@ -19,7 +20,7 @@
 	is := is.New(t)
 	place := dfuident.Place{Region: "r1", Zone: "z1"}
 	self := dfumembership.Self{Member: dfuident.Member{Node: "n1", Incarnation: 5}, Place: place, Peer: "10.0.0.1:7300"}
-	k := dfuroster.NewKeeper(self, dfuroster.Config{Membership: dfumembership.DefaultConfig(), Exchanged: []string{"routes"}}, rand.New(rand.NewPCG(1, 1)))
+	k := dfuroster.NewKeeper(self, dfuroster.Config{Membership: dfumembership.DefaultConfig(), Exchange: dfurecord.DefaultExchangeConfig("routes")}, rand.New(rand.NewPCG(1, 1)))
 	receive := func(node dfuident.NodeID, incarnation dfuident.Incarnation, version uint64, peer dfuident.Address) {
 		u := dfumembership.Update{
 			Member: dfuident.Member{Node: node, Incarnation: incarnation}, Version: version,
--- a/core/version/dfuroster/keeper.go
+++ b/core/version/dfuroster/keeper.go
@@ -27,8 +27,9 @@
 	ClaimsPrefix    string
 	// RoutesKey is the key of the route table.
 	RoutesKey string
-	// Exchanged lists the prefixes of the keys that every node holds a copy of.
-	Exchanged []string
+	// Exchange holds the prefixes of the keys that every node holds a copy of, and the
+	// intervals of their exchange.
+	Exchange dfurecord.ExchangeConfig
 }
 
 // Keeper maintains the view of one node. It drives the membership and the
@@ -67,8 +68,7 @@
 	}
 	k.exchange = dfurecord.NewExchange(
 		dfurecord.Peer{Node: self.Member.Node, Region: self.Place.Region, Address: self.Peer},
-		dfurecord.New(cfg.Limits, k.checkValue),
-		dfurecord.DefaultExchangeConfig(cfg.Exchanged...), rng,
+		dfurecord.New(cfg.Limits, k.checkValue), cfg.Exchange, rng,
 	)
 	k.applyUpdate(k.membership.Self())
 	k.view = k.view.Apply(k.change)
--- a/io/process/dfucontrol/config.go
+++ b/io/process/dfucontrol/config.go
@@ -46,8 +46,9 @@
 	// that contacts it. Its incarnation then comes from the wall clock alone, so
 	// it isn't guaranteed to be above that of the node's previous run.
 	JoinByPeers bool
-	// ReadAtStart makes a node list its records from the store as soon as it has
-	// joined, instead of waiting to receive them from peers.
+	// ReadAtStart makes the first nodes of a zone list the records from the store as
+	// soon as they have joined, instead of when they watch. The other nodes copy them
+	// from peers, or list them after a short time.
 	ReadAtStart bool
 	// CallTimeout is the timeout of one call to a peer.
 	CallTimeout dfuclock.Duration
--- a/io/process/dfucontrol/controller.go
+++ b/io/process/dfucontrol/controller.go
@@ -39,6 +39,7 @@
 	storeError  atomic.Pointer[string]
 	bridge      atomic.Bool
 	watcher     atomic.Bool
+	synced      atomic.Bool
 	superseded  atomic.Bool
 	failedCalls atomic.Uint64
 
@@ -112,29 +113,29 @@
 
 // Run joins the fleet and then runs the control plane until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
-	incarnation, seeds, err := c.join(ctx)
+	joined, err := c.join(ctx)
 	if err != nil {
 		return err
 	}
-	member := dfuident.Member{Node: c.cfg.Node, Incarnation: incarnation}
+	member := dfuident.Member{Node: c.cfg.Node, Incarnation: joined.incarnation}
 	loop := newEventLoop(c, member)
 	c.member.Store(&member)
-	c.deps.Log.Info("joined", zap.Stringer("member", member), zap.Int("listed", len(seeds)))
+	c.deps.Log.Info("joined", zap.Stringer("member", member), zap.Int("listed", len(joined.listed)))
 
-	if c.cfg.ReadAtStart {
-		c.readRequests <- struct{}{}
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
-	wg.Go(func() { _ = c.maintainPage(ctx, len(seeds)) })
+	wg.Go(func() { _ = c.maintainPage(ctx, joined.listed) })
 	wg.Go(func() { _ = c.read(ctx) })
+	if c.cfg.ReadAtStart {
+		wg.Go(func() { _ = c.readAtStart(ctx, joined.listed) })
+	}
 	for _, prefix := range c.cfg.Prefixes {
 		wg.Go(func() { _ = c.watch(ctx, prefix) })
 	}
 	for range c.cfg.Senders {
 		wg.Go(func() { _ = c.send(ctx) })
 	}
-	err = loop.run(ctx, seeds)
+	err = loop.run(ctx, joined.seeds)
 	cancel()
 	wg.Wait()
 	return err
--- a/io/process/dfucontrol/controller_test.go
+++ b/io/process/dfucontrol/controller_test.go
@@ -33,8 +33,11 @@
 	writes      int
 	// pageReads counts the reads of zone pages, by Get and ListStale.
 	pageReads int
-	revision  dfuident.Revision
-	records   map[string]dfustore.Record
+	// calls is the price of all calls: a write counts two, a read one and a stale read
+	// a tenth, as on the users' platform.
+	calls    float64
+	revision dfuident.Revision
+	records  map[string]dfustore.Record
 }
 
 func newFakeStore() *fakeStore {
@@ -61,18 +64,27 @@
 		return dfustore.Record{}, dfustore.ErrUnavailable
 	}
 	s.pageReads++
+	s.calls++
 	return s.records[key], nil
 }
 
 func (s *fakeStore) List(_ context.Context, prefix string) ([]dfustore.Record, dfuident.Revision, error) {
+	s.count(1)
 	return s.since(prefix, 0)
 }
 
-func (s *fakeStore) ListStale(ctx context.Context, prefix string) ([]dfustore.Record, dfuident.Revision, error) {
+func (s *fakeStore) count(price float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls += price
+}
+
+func (s *fakeStore) ListStale(_ context.Context, prefix string) ([]dfustore.Record, dfuident.Revision, error) {
 	s.mu.Lock()
 	s.pageReads++
+	s.calls += 0.1
 	s.mu.Unlock()
-	return s.List(ctx, prefix)
+	return s.since(prefix, 0)
 }
 
 func (s *fakeStore) since(prefix string, after dfuident.Revision) ([]dfustore.Record, dfuident.Revision, error) {
@@ -91,6 +103,7 @@
 }
 
 func (s *fakeStore) Watch(ctx context.Context, prefix string, after dfuident.Revision, wait dfuclock.Duration) ([]dfustore.Record, dfuident.Revision, error) {
+	s.count(1)
 	ctx, cancel := context.WithTimeout(ctx, wait.Std())
 	defer cancel()
 	for {
@@ -108,6 +121,7 @@
 func (s *fakeStore) CompareAndSwap(_ context.Context, key string, expect dfuident.Revision, value []byte, _ dfustore.LeaseID) (dfuident.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls += 2
 	if s.down {
 		return 0, dfustore.ErrUnavailable
 	}
@@ -168,6 +182,9 @@
 	net   *network
 	// joinPeriod overrides Config.Membership.JoinPeriod if it is positive.
 	joinPeriod dfuclock.Duration
+	// watchWait overrides Config.WatchWait and the short Config.PagePeriod of the tests
+	// by the values of the daemon if it is positive.
+	watchWait dfuclock.Duration
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -184,6 +201,10 @@
 func (f *fleet) startAt(i int, wall func() time.Time) (*dfucontrol.Controller, func()) {
 	cfg := dfucontrol.DefaultConfig()
 	cfg.PagePeriod = 100 * dfuclock.Millisecond
+	if f.watchWait > 0 {
+		cfg.WatchWait = f.watchWait
+		cfg.PagePeriod = dfucontrol.DefaultConfig().PagePeriod
+	}
 	cfg.JoinByPeers = true
 	cfg.ReadAtStart = true
 	if f.joinPeriod > 0 {
@@ -370,6 +391,56 @@
 	})
 }
 
+// maxStartCalls is the price of a node's calls to the store until its zone has started
+// and for 10 s after that: a third of what a node cost before nodes read and wrote for
+// each other, 8.8 at 295 nodes.
+const maxStartCalls = 8.8 / 3
+
+// Load: a fleet that starts at once. Every node finds an empty store and would write
+// its zone page in conflict with all others, and read all records. One node of a zone
+// writes and a few read for the rest.
+func TestStoreCallsOfAFleetThatStartsAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.watchWait = 25 * dfuclock.Second
+	f.store.put("catalogue/lager", entryValue(t, "one"))
+	const n = 40
+	var controllers []*dfucontrol.Controller
+	for i := range n {
+		c, _ := f.start(i)
+		controllers = append(controllers, c)
+	}
+	f.wait("every node sees all targets", allAlive(controllers, n))
+	f.wait("the entry is in force", func() bool {
+		return !slices.ContainsFunc(controllers, func(c *dfucontrol.Controller) bool {
+			_, _, ok := c.View().Entry("lager")
+			return !ok
+		})
+	})
+	time.Sleep(10 * time.Second)
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	t.Logf("%.1f calls a node", f.store.calls/n)
+	is.True(f.store.calls < n*maxStartCalls)
+}
+
+// A node whose zone page lists only nodes that are gone lists itself.
+func TestNodeWithoutABridgeListsItself(t *testing.T) {
+	f := newFleet(t)
+	page, err := json.Marshal([]map[string]any{{
+		"node": "vm-8", "incarnation": 1, "peer": "127.0.0.1:7999", "place": map[string]string{"region": "sued", "zone": "sued-a"},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.store.put("zone/sued/sued-a", page)
+	c, _ := f.start(0)
+	f.wait("the page lists the node", func() bool {
+		nodes, _ := f.store.page(t, "zone/sued/sued-a")
+		return slices.Contains(nodes, c.Member())
+	})
+}
+
 func TestMembershipGoesOnWithoutTheStore(t *testing.T) {
 	f := newFleet(t)
 	var controllers []*dfucontrol.Controller
--- a/io/process/dfucontrol/owner.go
+++ b/io/process/dfucontrol/owner.go
@@ -39,7 +39,7 @@
 		CataloguePrefix: dfustore.CataloguePrefix,
 		ClaimsPrefix:    dfustore.ClaimsPrefix,
 		RoutesKey:       dfustore.RoutesKey,
-		Exchanged:       c.cfg.Prefixes,
+		Exchange:        c.exchangeConfig(),
 	}
 	seed := uint64(c.jitter(maxSeed))
 	rng := rand.New(rand.NewPCG(seed, uint64(member.Incarnation)))
@@ -50,6 +50,18 @@
 	return l
 }
 
+// exchangeConfig returns the intervals of the exchange of records with peers. Watches
+// that wait long confirm the copies rarely, so that copies may become as much older.
+func (c *Controller) exchangeConfig() dfurecord.ExchangeConfig {
+	cfg := dfurecord.DefaultExchangeConfig(c.cfg.Prefixes...)
+	if c.cfg.ReadAtStart {
+		cfg.WatchWait = c.cfg.WatchWait
+		cfg.FirstReadDelay = startReadTimeout + startReadSpread
+		cfg.FirstComparePeriod = startComparePeriod
+	}
+	return cfg
+}
+
 // maxSeed is the maximum seed of the keeper's random number generator.
 const maxSeed = 1 << 50
 
@@ -91,10 +103,7 @@
 		case dfuroster.Publish:
 			l.publish(a.View)
 		case dfuroster.ReadStore:
-			select {
-			case l.control.readRequests <- struct{}{}:
-			default:
-			}
+			l.control.requestRead()
 		case dfuroster.RegionStatusChanged:
 			l.control.deps.Log.Info("region reachability changed", zap.String("region", string(a.Status.Observed)),
 				zap.Bool("unreachable", a.Status.Unreachable))
@@ -127,6 +136,7 @@
 	c := l.control
 	c.bridge.Store(l.keeper.Membership().IsBridge())
 	c.watcher.Store(l.keeper.Exchange().Watcher())
+	c.synced.Store(l.keeper.Exchange().Synced())
 	if now := c.deps.Clock.Now(); l.statusStale || !now.Before(l.nextStatusAt) {
 		l.statusStale = false
 		l.nextStatusAt = now.Add(statusPeriod)
--- a/io/process/dfucontrol/page.go
+++ b/io/process/dfucontrol/page.go
@@ -19,12 +19,20 @@
 )
 
 const (
-	// writeDelayPerNode times the number of nodes found when joining is the
-	// maximum random delay before a node's first write of its zone page. It
-	// reduces write conflicts between nodes that start at the same time.
-	writeDelayPerNode = 10 * dfuclock.Millisecond
-	// maxWriteDelay limits that delay.
-	maxWriteDelay = 2 * dfuclock.Second
+	// firstWriteSpread is the maximum random delay before a node that found no
+	// other node of its zone writes the zone page. The first write tells the others
+	// whom to contact.
+	firstWriteSpread = 500 * dfuclock.Millisecond
+	// contactTimeout is how long a node that found others of its zone on the page
+	// waits for contact with one of them.
+	contactTimeout = 1500 * dfuclock.Millisecond
+	// listTimeout, plus a random part of listSpread, is how long a node in contact
+	// with others of its zone waits for the zone's bridge to add it to the page.
+	listTimeout = 5 * dfuclock.Second
+	listSpread  = 3 * dfuclock.Second
+	// listPollPeriod is how often a waiting node checks its contacts. That needs no
+	// call to the store.
+	listPollPeriod = 100 * dfuclock.Millisecond
 	// minPagePeriod is the initial mean time between checks of the pages. It
 	// doubles up to Config.PagePeriod.
 	minPagePeriod = 400 * dfuclock.Millisecond
@@ -47,24 +55,37 @@
 	Place       dfuident.Place       `json:"place"`
 }
 
+// member returns the run of the node that the page lists.
+func (n pageNode) member() dfuident.Member {
+	return dfuident.Member{Node: n.Node, Incarnation: n.Incarnation}
+}
+
+// joining is the result of reading the zone pages at the start.
+type joining struct {
+	incarnation dfuident.Incarnation
+	// listed holds the nodes that the pages list.
+	listed []pageNode
+	seeds  []dfumembership.Seed
+}
+
 // join reads the zone pages until it succeeds, or until a peer contacts the node
-// if the configuration allows to join that way. It returns the members found and
-// an incarnation above the one that the pages list for this node.
-func (c *Controller) join(ctx context.Context) (dfuident.Incarnation, []dfumembership.Seed, error) {
+// if the configuration allows to join that way. The incarnation is above the one that
+// the pages list for this node.
+func (c *Controller) join(ctx context.Context) (joining, error) {
 	retry := c.newBackoff()
 	for {
 		nodes, err := c.findPeers(ctx)
 		if err == nil {
-			return c.nextIncarnation(nodes), seedsOf(nodes), nil
+			return joining{incarnation: c.nextIncarnation(nodes), listed: nodes, seeds: seedsOf(nodes)}, nil
 		}
 		c.recordStoreFailure("read zone pages", err)
 		peer, found, err := c.awaitJoinCandidate(ctx, &retry)
 		if err != nil {
-			return 0, nil, err
+			return joining{}, err
 		}
 		if found {
 			c.deps.Log.Info("store unavailable; joining through a peer", zap.Stringer("peer", peer.Member))
-			return c.nextIncarnation(nil), []dfumembership.Seed{{Contact: peer}}, nil
+			return joining{incarnation: c.nextIncarnation(nil), seeds: []dfumembership.Seed{{Contact: peer}}}, nil
 		}
 	}
 }
@@ -172,16 +193,12 @@
 	return page, nil
 }
 
-// maintainPage adds the node to its zone page. After that, while the node is its
-// zone's bridge, it adds missing members to the page, removes members that have
+// maintainPage waits until the node is on its zone page. After that, while the node is
+// its zone's bridge, it adds missing members to the page, removes members that have
 // been absent for the retention period, and passes the nodes of all pages to the
 // membership protocol as seeds.
-func (c *Controller) maintainPage(ctx context.Context, listedNodes int) error {
-	maxDelay := min(writeDelayPerNode*dfuclock.Duration(listedNodes), maxWriteDelay)
-	if err := sleep(ctx, c.jitter(maxDelay)); err != nil {
-		return err
-	}
-	if err := c.ensureListed(ctx); err != nil {
+func (c *Controller) maintainPage(ctx context.Context, found []pageNode) error {
+	if err := c.ensureListed(ctx, found); err != nil {
 		return err
 	}
 	c.deps.Log.Info("on the zone page", zap.Stringer("member", c.Member()))
@@ -198,7 +215,7 @@
 			continue
 		}
 		if c.pageDiffers(ctx, absent) {
-			if _, err := c.writePage(ctx, absent); err != nil && !errors.Is(err, dfustore.ErrConflict) {
+			if _, err := c.writePage(ctx, absent, nil); err != nil && !errors.Is(err, dfustore.ErrConflict) {
 				c.recordStoreFailure("write zone page", err)
 			}
 		}
@@ -242,11 +259,30 @@
 	c.inbox.Offer(input{event: dfuroster.SeedsListed{Seeds: seedsOf(nodes)}})
 }
 
-// ensureListed writes the zone page until it lists this node.
-func (c *Controller) ensureListed(ctx context.Context) error {
+// ensureListed returns once the zone page lists this node. A node that has contact
+// with others of its zone waits for the zone's bridge to add it, since one write serves
+// all nodes that start at the same time. It writes the page itself if it finds no other
+// node, or if the bridge takes too long.
+func (c *Controller) ensureListed(ctx context.Context, found []pageNode) error {
+	started := c.deps.Clock.Now()
+	if !c.listsZonePeer(found) {
+		if err := sleep(ctx, c.jitter(firstWriteSpread)); err != nil {
+			return err
+		}
+		done, err := c.listFirst(ctx)
+		if done {
+			return nil
+		}
+		if err != nil {
+			c.recordStoreFailure("write zone page", err)
+		}
+	}
+	if err := c.awaitBridge(ctx, started); err != nil {
+		return err
+	}
 	retry := c.newBackoff()
 	for {
-		done, err := c.writePage(ctx, nil)
+		done, err := c.checkListed(ctx)
 		if done {
 			return nil
 		}
@@ -261,14 +297,79 @@
 	}
 }
 
+// listFirst writes the zone page unless it lists another node of the zone by now, and
+// reports whether it has. The node that writes the first page of its zone also reads
+// the records for the others, which copy them.
+func (c *Controller) listFirst(ctx context.Context) (bool, error) {
+	page, err := c.readPages(ctx, dfustore.ZoneKey(c.cfg.Place))
+	if err != nil {
+		return false, err
+	}
+	c.inbox.Offer(input{event: dfuroster.SeedsListed{Seeds: seedsOf(page)}})
+	if c.listsZonePeer(page) {
+		return false, nil
+	}
+	done, err := c.writePage(ctx, nil, c.listsZonePeer)
+	if errors.Is(err, dfustore.ErrConflict) {
+		return false, nil
+	}
+	if done && c.cfg.ReadAtStart {
+		c.requestRead()
+	}
+	return done, err
+}
+
+// awaitBridge waits while another node of the zone is expected to list this node.
+func (c *Controller) awaitBridge(ctx context.Context, started dfuclock.Time) error {
+	timeout := listTimeout + c.jitter(listSpread)
+	for {
+		waited := c.deps.Clock.Now().Sub(started)
+		switch {
+		case waited >= timeout:
+			return nil
+		case waited >= contactTimeout && (!c.hasZonePeer() || c.bridge.Load()):
+			return nil
+		}
+		if err := sleep(ctx, listPollPeriod); err != nil {
+			return err
+		}
+	}
+}
+
+// checkListed reports whether the zone page lists this node. If it doesn't, it writes
+// the page.
+func (c *Controller) checkListed(ctx context.Context) (bool, error) {
+	page, err := c.readPages(ctx, dfustore.ZoneKey(c.cfg.Place))
+	if err != nil {
+		return false, err
+	}
+	if slices.ContainsFunc(page, func(n pageNode) bool { return n.member() == c.Member() }) {
+		return true, nil
+	}
+	return c.writePage(ctx, nil, nil)
+}
+
+// listsZonePeer reports whether the nodes include another one of this node's zone.
+func (c *Controller) listsZonePeer(nodes []pageNode) bool {
+	return slices.ContainsFunc(nodes, func(n pageNode) bool { return n.Node != c.cfg.Node && n.Place == c.cfg.Place })
+}
+
+// hasZonePeer reports whether the view has another live node of this node's zone.
+func (c *Controller) hasZonePeer() bool {
+	return slices.ContainsFunc(c.View().Nodes(), func(n dfuroster.Node) bool {
+		return n.Member.Node != c.cfg.Node && n.Place == c.cfg.Place && isLive(n)
+	})
+}
+
 // writePage updates the zone page once, by compare-and-swap, and reports whether
 // the page is up to date. It adds every live member of the zone, so that one
 // write serves all nodes that wait to be listed. Listed members that have been
 // absent for the retention period are removed, unless absent is nil. The nodes
 // that the page listed before are passed to the event loop as seeds. After a
 // write whose reply was lost, the next call reads the page again and so finds
-// out whether the write was applied.
-func (c *Controller) writePage(ctx context.Context, absent absentSince) (bool, error) {
+// out whether the write was applied. Nothing is written if skip, unless nil, returns
+// true for the nodes listed before.
+func (c *Controller) writePage(ctx context.Context, absent absentSince, skip func([]pageNode) bool) (bool, error) {
 	key := dfustore.ZoneKey(c.cfg.Place)
 	record, err := c.deps.Store.Get(ctx, key)
 	if err != nil {
@@ -280,6 +381,9 @@
 		c.deps.Log.Warn("replacing invalid zone page", zap.String("key", key), zap.Error(err))
 	}
 	c.inbox.Offer(input{event: dfuroster.SeedsListed{Seeds: seedsOf(page)}})
+	if skip != nil && skip(page) {
+		return false, nil
+	}
 	view := c.View()
 	expired := absent.expire(page, view, c.deps.Clock.Now(), c.cfg.Membership.DeadRetention)
 	next := mergePage(page, view, c.cfg.Place, expired)
--- a/io/process/dfucontrol/watch.go
+++ b/io/process/dfucontrol/watch.go
@@ -18,11 +18,16 @@
 var errQueueFull = errors.New("the control event queue is full")
 
 // watch watches the records under a prefix while the node is a watcher. After a
-// failure it starts again with a full list.
+// failure it starts again with a full list. With ReadAtStart it begins when the nodes
+// that start together have met, since each considers itself a watcher before that.
 func (c *Controller) watch(ctx context.Context, prefix string) error {
 	retry := c.newBackoff()
+	start := c.deps.Clock.Now()
+	if c.cfg.ReadAtStart {
+		start = start.Add(startReadTimeout)
+	}
 	for {
-		if !c.watcher.Load() {
+		if !c.watcher.Load() || c.deps.Clock.Now().Before(start) {
 			if err := sleep(ctx, c.cfg.Membership.TickPeriod); err != nil {
 				return err
 			}
@@ -90,6 +95,60 @@
 	}
 }
 
+const (
+	// startReaders is the number of nodes of a zone that read the records at their
+	// start when the zone starts again.
+	startReaders = 2
+	// startReadTimeout, plus a random part of startReadSpread, is how long another
+	// node waits for a peer to provide the records before it reads them itself.
+	startReadTimeout = 1200 * dfuclock.Millisecond
+	startReadSpread  = 1200 * dfuclock.Millisecond
+	// startComparePeriod is how often it compares with a peer meanwhile.
+	startComparePeriod = 250 * dfuclock.Millisecond
+	// startPollPeriod is how often a starting node checks whether it has a copy.
+	startPollPeriod = 50 * dfuclock.Millisecond
+)
+
+// readAtStart reads the records if the node is among the first of its zone on the page,
+// or if no peer provides them in time. The first nodes read for the others, which copy
+// the records from them.
+func (c *Controller) readAtStart(ctx context.Context, listed []pageNode) error {
+	if c.listsZonePeer(listed) && c.zoneRank(listed) < startReaders {
+		c.requestRead()
+		return nil
+	}
+	deadline := c.deps.Clock.Now().Add(startReadTimeout + c.jitter(startReadSpread))
+	for !c.synced.Load() {
+		if !c.deps.Clock.Now().Before(deadline) {
+			c.requestRead()
+			return nil
+		}
+		if err := sleep(ctx, startPollPeriod); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// zoneRank returns the number of listed nodes of this node's zone with a lower id.
+func (c *Controller) zoneRank(listed []pageNode) int {
+	rank := 0
+	for _, n := range listed {
+		if n.Place == c.cfg.Place && n.Node < c.cfg.Node {
+			rank++
+		}
+	}
+	return rank
+}
+
+// requestRead requests one list of every prefix, unless one is already requested.
+func (c *Controller) requestRead() {
+	select {
+	case c.readRequests <- struct{}{}:
+	default:
+	}
+}
+
 // list passes all records under a prefix to the event loop and returns the
 // revision to watch from. It uses List, since ListStale may return a revision
 // so old that the store has compacted the changes since, and every watch from it
--- a/measure/dfufleet/fleet.go
+++ b/measure/dfufleet/fleet.go
@@ -171,7 +171,7 @@
 		Limits:          dfurecord.DefaultLimits(),
 		CataloguePrefix: "catalogue/",
 		ClaimsPrefix:    "claims/",
-		Exchanged:       []string{"catalogue/", "claims/"},
+		Exchange:        dfurecord.DefaultExchangeConfig("catalogue/", "claims/"),
 	}
 	n.Keeper = dfuroster.NewKeeper(self, cfg, rand.New(rand.NewPCG(f.rng.Uint64(), f.rng.Uint64())))
 	n.nextTick = f.now.Add(dfuclock.Duration(f.rng.Int64N(int64(f.cfg.Membership.TickPeriod))))
