--- a/io/process/dfucontrol/controller.go
+++ b/io/process/dfucontrol/controller.go
@@ -43,6 +43,10 @@
 	superseded  atomic.Bool
 	failedCalls atomic.Uint64
 
+	// lastPage is the zone page as this node last read or wrote it. Only maintainPage
+	// uses it.
+	lastPage []pageNode
+
 	randMu sync.Mutex
 	rand   *rand.Rand
 }
--- a/io/process/dfucontrol/page.go
+++ b/io/process/dfucontrol/page.go
@@ -30,6 +30,13 @@
 	// with others of its zone waits for the zone's bridge to add it to the page.
 	listTimeout = 5 * dfuclock.Second
 	listSpread  = 3 * dfuclock.Second
+	// bridgeDelay is how long after its start a node that considers itself the bridge
+	// waits until it writes the page for the zone. Before that it may not know the
+	// others.
+	bridgeDelay = 700 * dfuclock.Millisecond
+	// batchDelay is how long the bridge waits for more nodes when it has found one
+	// that the page doesn't list.
+	batchDelay = 300 * dfuclock.Millisecond
 	// listPollPeriod is how often a waiting node checks its contacts. That needs no
 	// call to the store.
 	listPollPeriod = 100 * dfuclock.Millisecond
@@ -207,7 +214,7 @@
 	// each other's pages before they are written, and since the bridge is only
 	// agreed on once the zone's nodes have discovered each other.
 	for period := minPagePeriod; ; period = min(2*period, c.cfg.PagePeriod) {
-		if err := sleep(ctx, period/2+c.jitter(period)); err != nil {
+		if err := c.awaitPageCheck(ctx, period/2+c.jitter(period)); err != nil {
 			return err
 		}
 		if !c.bridge.Load() {
@@ -223,6 +230,30 @@
 	}
 }
 
+// awaitPageCheck waits for the given time or, on the bridge, until the zone has a
+// member that the page did not list when this node last read or wrote it.
+func (c *Controller) awaitPageCheck(ctx context.Context, wait dfuclock.Duration) error {
+	for end := c.deps.Clock.Now().Add(wait); c.deps.Clock.Now().Before(end); {
+		if c.bridge.Load() && c.hasUnlistedMember() {
+			return sleep(ctx, batchDelay)
+		}
+		if err := sleep(ctx, min(listPollPeriod, wait)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// hasUnlistedMember reports whether the zone has a live member that lastPage doesn't
+// list.
+func (c *Controller) hasUnlistedMember() bool {
+	return slices.ContainsFunc(c.View().Nodes(), func(n dfuroster.Node) bool {
+		return n.Place == c.cfg.Place && isLive(n) && !slices.ContainsFunc(c.lastPage, func(p pageNode) bool {
+			return p.Node == n.Member.Node && p.Incarnation >= n.Member.Incarnation
+		})
+	})
+}
+
 // pageDiffers reports whether the zone page needs an update. It uses
 // ListStale, since the platform charges a tenth of a List for it. The version read
 // may be seconds old.
@@ -242,6 +273,7 @@
 			return true
 		}
 		view := c.View()
+		c.lastPage = page
 		expired := absent.expire(page, view, c.deps.Clock.Now(), c.cfg.Membership.DeadRetention)
 		return !slices.Equal(page, mergePage(page, view, c.cfg.Place, expired))
 	}
@@ -327,7 +359,9 @@
 		switch {
 		case waited >= timeout:
 			return nil
-		case waited >= contactTimeout && (!c.hasZonePeer() || c.bridge.Load()):
+		case waited >= contactTimeout && !c.hasZonePeer():
+			return nil
+		case waited >= bridgeDelay && c.bridge.Load() && c.hasZonePeer():
 			return nil
 		}
 		if err := sleep(ctx, listPollPeriod); err != nil {
@@ -388,6 +422,7 @@
 	expired := absent.expire(page, view, c.deps.Clock.Now(), c.cfg.Membership.DeadRetention)
 	next := mergePage(page, view, c.cfg.Place, expired)
 	if slices.Equal(page, next) {
+		c.lastPage = page
 		return true, nil
 	}
 	value, err := json.Marshal(next)
@@ -398,8 +433,11 @@
 	if !record.Exists() {
 		expect = 0
 	}
-	_, err = c.deps.Store.CompareAndSwap(ctx, key, expect, value, 0)
-	return err == nil, err
+	if _, err := c.deps.Store.CompareAndSwap(ctx, key, expect, value, 0); err != nil {
+		return false, err
+	}
+	c.lastPage = next
+	return true, nil
 }
 
 // absentSince holds the time since which each listed node has not been alive in
@@ -434,8 +472,9 @@
 	return n.State != dfuroster.Dead && n.State != dfuroster.Left
 }
 
-// mergePage returns the page without the expired nodes and with all live members
-// of the zone in the view, each at its highest incarnation, sorted by node. It
+// mergePage returns the page without the expired nodes and with all members of the
+// zone in the view, each at its highest incarnation, sorted by node. Members that have
+// ended are included, since their next run needs their incarnation. The page
 // also lists a few members of each other zone of the region, since nodes that
 // start at the same time would otherwise discover only those of their own zone.
 func mergePage(page []pageNode, view *dfuroster.View, place dfuident.Place, expired map[dfuident.NodeID]bool) []pageNode {
@@ -448,13 +487,16 @@
 	otherZones := make(map[dfuident.Place]int)
 	for _, n := range sortListedFirst(view.Nodes(), byNode) {
 		previous, listed := byNode[n.Member.Node]
-		if !isLive(n) || listed && previous.Incarnation > n.Member.Incarnation {
+		if expired[n.Member.Node] || listed && previous.Incarnation > n.Member.Incarnation {
 			continue
 		}
 		if n.Place == place {
 			byNode[n.Member.Node] = newPageNode(n)
 			continue
 		}
+		if !isLive(n) {
+			continue
+		}
 		if n.Place.Region == place.Region && otherZones[n.Place] < maxListedPerOtherZone {
 			otherZones[n.Place]++
 			byNode[n.Member.Node] = newPageNode(n)
