--- a/core/request/dfucrash/tracker.go
+++ b/core/request/dfucrash/tracker.go
@@ -107,6 +107,17 @@
 	return ok
 }
 
+// BanCount returns the number of fingerprints that are currently banned.
+func (t *Tracker) BanCount(now dfuclock.Time) int {
+	n := 0
+	for _, until := range t.bans {
+		if now.Before(until) {
+			n++
+		}
+	}
+	return n
+}
+
 // Suspected reports whether the fingerprint was running at a crash within the last
 // SuspectFor and hasn't completed since.
 func (t *Tracker) Suspected(now dfuclock.Time, f Fingerprint) bool {
--- a/core/request/dfugate/machine.go
+++ b/core/request/dfugate/machine.go
@@ -275,6 +275,12 @@
 	}
 }
 
+// BanCount returns the number of fingerprints that are refused because their requests
+// crashed targets.
+func (m *Machine) BanCount(now dfuclock.Time) int {
+	return m.crash.BanCount(now)
+}
+
 func (m *Machine) emit(a Action) {
 	m.actions = append(m.actions, a)
 }
--- a/io/process/dfunode/admin.go
+++ b/io/process/dfunode/admin.go
@@ -37,7 +37,9 @@
 	// Measuring is the traffic that the gate spent on reporting its load.
 	Measuring MeasuringStatus             `json:"measuring"`
 	Refused   map[dfuoutcome.Reason]int64 `json:"refused"`
-	Control   dfucontrol.Status           `json:"control"`
+	// Banned is the number of requests that are refused because they crashed targets.
+	Banned  int               `json:"banned"`
+	Control dfucontrol.Status `json:"control"`
 }
 
 // MeasuringStatus holds the traffic spent on measuring since the start, and the
@@ -182,6 +184,7 @@
 	status.Queued = int(gate.Load.Queued)
 	status.ServiceTime = gate.Load.ServiceTime
 	status.Refused = gate.Refused
+	status.Banned = gate.Banned
 	for _, e := range c.dispatcher.Ejections() {
 		status.Peers = append(status.Peers, dfustatus.Peer{Node: e.Member.Node, State: dfuroster.Alive, Reason: ejectionReason(e)})
 	}
--- a/io/process/dfunode/crash_reports.go
+++ b/io/process/dfunode/crash_reports.go
@@ -16,8 +16,15 @@
 const (
 	// maxQueuedReports bounds the crash reports that wait to be sent.
 	maxQueuedReports = 64
-	// reportTimeout bounds sending one report to the other nodes.
+	// reportTimeout bounds one call that sends a report to another node.
 	reportTimeout = 500 * time.Millisecond
+	// reportAttempts is how often a report is sent to a node that does not answer, and
+	// reportRetryDelay the pause between two attempts.
+	reportAttempts   = 5
+	reportRetryDelay = 200 * time.Millisecond
+	// maxReportCalls bounds the calls in progress. While it is reached, further reports
+	// wait.
+	maxReportCalls = 512
 )
 
 // News is a report from one gate to the other gates of its service about
@@ -29,8 +36,8 @@
 }
 
 // crashReporter sends crash reports to the other nodes of the local target's
-// service. Reports are not retried: a node that misses the report of a crash counts
-// one crash too few and may refuse such requests only after a further crash.
+// service. A node that misses the report of a crash counts one crash too few and may
+// refuse such requests only after a further crash, so reports are retried for a while.
 type crashReporter struct {
 	log  *zap.Logger
 	pool *dfupeer.Pool
@@ -38,6 +45,8 @@
 	// local returns this node from the current view, or false if it is not there.
 	local func() (dfuroster.Node, bool)
 	queue *dfuring.Ring[News]
+	// calls holds an element for each call in progress.
+	calls chan struct{}
 }
 
 // enqueue queues the report of an action of the gate. Actions that do not concern
@@ -74,29 +83,45 @@
 }
 
 // broadcast sends a report concurrently to the other nodes of the service that
-// are neither dead nor left, and waits for all calls to end.
+// are neither dead nor left. It does not wait for their answers, so that a slow node
+// does not delay the next report to the others.
 func (r *crashReporter) broadcast(ctx context.Context, report News) {
 	self, ok := r.local()
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	done := make(chan struct{}, len(r.view().Service(self.Service)))
-	pending := 0
 	for _, n := range r.view().Service(self.Service) {
 		if n.Member == self.Member || n.State == dfuroster.Dead || n.State == dfuroster.Left {
 			continue
 		}
-		pending++
+		select {
+		case <-ctx.Done():
+			return
+		case r.calls <- struct{}{}:
+		}
 		go func() {
-			_ = r.pool.Call(ctx, n.Peer, dfupeer.Control, dfumessage.MethodNews, &report, &struct{}{})
-			done <- struct{}{}
+			defer func() { <-r.calls }()
+			r.send(ctx, n, &report)
 		}()
 	}
-	for range pending {
-		<-done
+}
+
+// send sends a report to a node, again while the node does not answer.
+func (r *crashReporter) send(ctx context.Context, to dfuroster.Node, report *News) {
+	for range reportAttempts {
+		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+		err := r.pool.Call(callCtx, to.Peer, dfupeer.Control, dfumessage.MethodNews, report, &struct{}{})
+		cancel()
+		if err == nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(reportRetryDelay):
+		}
 	}
-	cancel()
+	r.log.Warn("a node was not told of a crash", zap.Stringer("to", to.Member))
 }
 
 // events returns the events that the report causes at the receiving gate.
--- a/io/process/dfunode/fleet_test.go
+++ b/io/process/dfunode/fleet_test.go
@@ -102,6 +102,7 @@
 			"calls":      func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).calls(args) },
 			"crash":      func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).crash(args) },
 			"revive":     func(ts *testscript.TestScript, _ bool, _ []string) { fleetOf(ts).revive() },
+			"banned":     func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).banned(args) },
 			"pipeline":   func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).pipeline(args) },
 			"signal":     func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).signal(args[0], args[1:]) },
 			"restart":    func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).restart(args) },
@@ -452,6 +453,20 @@
 	f.appendTranscript("%d crashed", f.count(dfutargetstandin.EffectCrashed))
 }
 
+// banned waits until each node refuses a request that crashed targets: "banned NODE...".
+func (f *fleet) banned(nodes []string) {
+	for _, node := range nodes {
+		var s struct{ Banned int }
+		for deadline := time.Now().Add(waitTimeout); s.Banned == 0; time.Sleep(20 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				f.ts.Fatalf("%s refuses no request that crashed targets", node)
+			}
+			f.get(node, "status", &s)
+		}
+	}
+	f.appendTranscript("banned at %s", strings.Join(nodes, " "))
+}
+
 // revive restarts the targets that have crashed.
 func (f *fleet) revive() {
 	for _, e := range f.effects() {
--- a/io/process/dfunode/metrics.go
+++ b/io/process/dfunode/metrics.go
@@ -68,5 +68,6 @@
 		set(metrics.GetOrRegisterGauge("gate.running", n.metrics), int64(load.InFlight))
 		set(metrics.GetOrRegisterGauge("gate.waiting", n.metrics), int64(load.Queued))
 		set(metrics.GetOrRegisterGauge("gate.slots", n.metrics), int64(load.Slots))
+		set(metrics.GetOrRegisterGauge("gate.banned", n.metrics), int64(c.gate.Status().Banned))
 	}
 }
--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -215,15 +215,30 @@
 		c.gate.Close()
 	}
 	cancel()
-	for _, admin := range n.adminServers {
-		err = errors.CombineErrors(err, admin.Shutdown())
-	}
+	err = errors.CombineErrors(err, n.closeAdmin())
 	n.server.Close()
 	n.pool.Close()
 	wg.Wait()
 	return errors.CombineErrors(err, n.tracer.Close(context.Background()))
 }
 
+// adminCloseTimeout bounds how long a node that has left waits for the connections to
+// its pages. fasthttp waits 5 s for a connection on which nothing was sent.
+const adminCloseTimeout = 100 * time.Millisecond
+
+// closeAdmin closes the servers of the node's pages.
+func (n *Node) closeAdmin() error {
+	ctx, cancel := context.WithTimeout(context.Background(), adminCloseTimeout)
+	defer cancel()
+	var err error
+	for _, admin := range n.adminServers {
+		if closeErr := admin.ShutdownWithContext(ctx); !errors.Is(closeErr, context.DeadlineExceeded) {
+			err = errors.CombineErrors(err, closeErr)
+		}
+	}
+	return err
+}
+
 // withSupersededCancel returns a context that ends with runCtx, or as soon as a
 // later run of this node is detected: the claims of that run rely on the claims of
 // this run having stopped.
@@ -374,6 +389,7 @@
 		view:  n.control.View,
 		local: func() (dfuroster.Node, bool) { return n.control.View().Node(self.Node) },
 		queue: dfuring.New[News](maxQueuedReports),
+		calls: make(chan struct{}, maxReportCalls),
 	}
 	gate := dfuadmission.New(dfuadmission.Deps{
 		Self:             self,
--- a/io/request/dfuadmission/controller.go
+++ b/io/request/dfuadmission/controller.go
@@ -49,6 +49,9 @@
 	Drained bool
 	// Measuring is the use of the measuring budget by load reports in replies.
 	Measuring dfubudget.Usage
+	// Banned is the number of fingerprints that are refused because their requests
+	// crashed targets.
+	Banned int
 	// Refused counts the offers that got no answer, by reason.
 	Refused map[dfuoutcome.Reason]int64
 }
@@ -127,6 +130,7 @@
 		Draining:  c.draining,
 		Drained:   c.drained,
 		Measuring: c.measuring.Usage(dfubudget.CausePiggyback),
+		Banned:    c.deps.Machine.BanCount(c.deps.Clock.Now()),
 		Refused:   maps.Clone(c.refused),
 	}
 }
