--- a/io/connection/dfutarget/client.go
+++ b/io/connection/dfutarget/client.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -42,6 +43,8 @@
 	Instance dfuident.Instance
 	// AnswerLimit is the maximum body size of a response.
 	AnswerLimit dfuident.Bytes
+	// LargeAnswers limits the memory of large responses; nil for no limit.
+	LargeAnswers *Memory
 	// IdleLimit is the maximum number of idle connections, and IdleTime is how
 	// long an idle connection may be reused.
 	IdleLimit int
@@ -220,7 +223,9 @@
 	defer fasthttp.ReleaseResponse(resp)
 	resp.Header.SetNoDefaultContentType(true)
 	skipped := 0
-	metadata, err := c.readMatchingResponse(resp, cn.r, offer, &skipped)
+	body := bodyReader{limit: c.cfg.AnswerLimit, memory: c.cfg.LargeAnswers}
+	defer body.release()
+	metadata, err := c.readMatchingResponse(resp, &body, cn.r, offer, &skipped)
 	if err != nil {
 		cn.Close()
 		return Result{}, false, markInterrupted(errors.CombineErrors(pending.wait(), err))
@@ -236,7 +241,7 @@
 		cn.Close()
 		<-pending.done
 	}
-	return Result{Answer: copyResponse(resp), ResponseMetadata: metadata}, reusable, nil
+	return Result{Answer: copyResponse(resp, body.body), ResponseMetadata: metadata}, reusable, nil
 }
 
 // pendingWrite is a request that is being written. err is set before done is
@@ -277,9 +282,10 @@
 
 // readMatchingResponse reads the response to the offer. It skips and counts late
 // responses to earlier requests on the connection.
-func (c *Client) readMatchingResponse(resp *fasthttp.Response, r *bufio.Reader, offer *dfumessage.Offer, skipped *int) (ResponseMetadata, error) {
+func (c *Client) readMatchingResponse(resp *fasthttp.Response, body *bodyReader, r *bufio.Reader, offer *dfumessage.Offer, skipped *int) (ResponseMetadata, error) {
 	for range maxResponseReads {
-		if err := c.readResponse(resp, r, offer.Method); err != nil {
+		body.body = body.body[:0]
+		if err := c.readResponse(resp, body, r, offer.Method); err != nil {
 			return ResponseMetadata{}, err
 		}
 		metadata := c.cfg.Dialect.Read(&resp.Header, offer)
@@ -312,8 +318,9 @@
 )
 
 // readResponse reads the final response. It reads header and body separately,
-// because fasthttp's Response.Read hides whether the response stated its length.
-func (c *Client) readResponse(resp *fasthttp.Response, r *bufio.Reader, method string) error {
+// because fasthttp's Response.Read hides whether the response stated its length, and
+// allocates the length that is announced.
+func (c *Client) readResponse(resp *fasthttp.Response, body *bodyReader, r *bufio.Reader, method string) error {
 	if err := readFinalHeader(&resp.Header, r); err != nil {
 		return err
 	}
@@ -321,16 +328,19 @@
 	if method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
 		return nil
 	}
-	if length == lengthUntilClose && !c.cfg.Dialect.AllowsUntilClose() {
+	switch {
+	case length == lengthUntilClose && !c.cfg.Dialect.AllowsUntilClose():
 		return errNoLength
-	}
-	if err := resp.ReadBody(r, int(c.cfg.AnswerLimit)); err != nil {
-		return err
-	}
-	if length == lengthChunked {
+	case length == lengthUntilClose:
+		return body.read(r)
+	case length == lengthChunked:
+		if err := body.readChunks(r); err != nil {
+			return err
+		}
 		return resp.Header.ReadTrailer(r)
+	default:
+		return body.readLength(r, length)
 	}
-	return nil
 }
 
 func readFinalHeader(h *fasthttp.ResponseHeader, r *bufio.Reader) error {
@@ -363,9 +373,10 @@
 	req.SetBodyRaw(offer.Body)
 }
 
-// copyResponse copies status, headers and body out of the pooled response.
-func copyResponse(resp *fasthttp.Response) dfumessage.Answer {
-	answer := dfumessage.Answer{Status: resp.StatusCode(), Body: append([]byte(nil), resp.Body()...)}
+// copyResponse returns an answer with the body and with the status and the headers of
+// the pooled response.
+func copyResponse(resp *fasthttp.Response, body []byte) dfumessage.Answer {
+	answer := dfumessage.Answer{Status: resp.StatusCode(), Body: slices.Clip(body)}
 	options := ConnectionOptions(resp.Header.All())
 	for name, value := range resp.Header.All() {
 		if isForwarded(string(name)) && !options.IsHopByHop(string(name)) {
--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -434,10 +434,11 @@
 		advertise:      n.advertiseTarget,
 		targetSettings: func() dfusettings.Target { return n.latest.Load().Target },
 		cfg: dfutarget.Config{
-			AnswerLimit: n.settings.Limits.Answer,
-			IdleLimit:   maxIdleTargetConns,
-			IdleTime:    targetIdleTimeout,
-			Dialect:     n.adapters.Targets,
+			AnswerLimit:  n.settings.Limits.Answer,
+			LargeAnswers: dfutarget.NewMemory(n.settings.Limits.LargeAnswersBytes()),
+			IdleLimit:    maxIdleTargetConns,
+			IdleTime:     targetIdleTimeout,
+			Dialect:      n.adapters.Targets,
 		},
 	}
 	c.gate, c.dispatcher, c.target, c.reporter = gate, dispatcher, target, reporter
--- a/io/process/dfusettings/settings.go
+++ b/io/process/dfusettings/settings.go
@@ -19,6 +19,7 @@
 	defaultDrainTimeout       dfuclock.Duration = 30 * dfuclock.Second
 	defaultRequestBodyBytes   dfuident.Bytes    = 32 << 20
 	defaultAnswerBytes        dfuident.Bytes    = 32 << 20
+	defaultLargeAnswersBytes  dfuident.Bytes    = 128 << 20
 	defaultInFlight                             = 4096
 	defaultRequestHeaderBytes dfuident.Bytes    = 8 << 10
 	defaultPipelineRequests                     = 32
@@ -142,6 +143,9 @@
 	// of an answer.
 	RequestBody dfuident.Bytes `json:"request_body_bytes"`
 	Answer      dfuident.Bytes `json:"answer_bytes"`
+	// LargeAnswers is the memory for answers of more than 256 KiB that are being read
+	// from the target at the same time. With MemoryMB it is a quarter of that at most.
+	LargeAnswers dfuident.Bytes `json:"large_answers_bytes"`
 	// InFlight is the maximum number of concurrent requests of callers.
 	InFlight int `json:"in_flight"`
 	// RequestHeader is the maximum size of the header of a caller's request.
@@ -160,6 +164,16 @@
 	LinkMbps float64 `json:"link_mbps"`
 }
 
+// LargeAnswersBytes returns the memory for large answers, of which LargeAnswers and
+// MemoryMB set the maximum.
+func (l Limits) LargeAnswersBytes() dfuident.Bytes {
+	if l.MemoryMB == 0 {
+		return l.LargeAnswers
+	}
+	const largeAnswersDivisor = 4
+	return min(l.LargeAnswers, dfuident.Bytes(l.MemoryMB)<<20/largeAnswersDivisor)
+}
+
 // Load reads and validates the settings file at path. Settings that the file
 // doesn't contain have their default values. The error lists every finding with
 // its position.
@@ -193,7 +207,9 @@
 		Limits: Limits{
 			RequestBody: defaultRequestBodyBytes,
 			Answer:      defaultAnswerBytes,
-			InFlight:    defaultInFlight,
+
+			LargeAnswers: defaultLargeAnswersBytes,
+			InFlight:     defaultInFlight,
 
 			RequestHeader:    defaultRequestHeaderBytes,
 			PipelineRequests: defaultPipelineRequests,
@@ -244,6 +260,7 @@
 	c.positive("limits.request_body_bytes", int64(s.Limits.RequestBody))
 	c.positive("limits.answer_bytes", int64(s.Limits.Answer))
 	c.positive("limits.request_header_bytes", int64(s.Limits.RequestHeader))
+	c.positive("limits.large_answers_bytes", int64(s.Limits.LargeAnswers))
 	c.positive("limits.in_flight", int64(s.Limits.InFlight))
 	c.positive("limits.pipeline_requests", int64(s.Limits.PipelineRequests))
 	c.positive("limits.pipeline_bytes", int64(s.Limits.PipelineBytes))
