--- a/io/connection/dfutarget/client.go
+++ b/io/connection/dfutarget/client.go
@@ -127,6 +127,19 @@
 	return *result.ResponseMetadata.Load, nil
 }
 
+// CheckHealth reports whether the target is in service by its own account: its answer
+// at a path is a success and comes from the configured instance. If ctx is done first,
+// CheckHealth closes the connection.
+func (c *Client) CheckHealth(ctx context.Context, path string) (bool, error) {
+	offer := &dfumessage.Offer{Method: fasthttp.MethodGet, URI: path, Idempotent: true}
+	result, err := c.run(ctx, offer, func(*fasthttp.RequestHeader) {})
+	if err != nil {
+		return false, err
+	}
+	instance := cmp.Or(result.ResponseMetadata.Instance, c.cfg.Instance)
+	return result.Answer.Status == fasthttp.StatusOK && instance == c.cfg.Instance, nil
+}
+
 // Close closes the idle connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/io/connection/dfutarget/dialect.go
+++ b/io/connection/dfutarget/dialect.go
@@ -38,6 +38,9 @@
 	NotRun bool
 	// Replaced is set if another instance now uses the target's address.
 	Replaced bool
+	// Instance is the instance that the target states in its response to a health
+	// check; empty if it states none.
+	Instance dfuident.Instance
 	// IdleTime is how long the target keeps the idle connection open; zero if it
 	// is not stated.
 	IdleTime dfuclock.Duration
--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -432,6 +432,7 @@
 		log:            n.log,
 		gate:           gate,
 		advertise:      n.advertiseTarget,
+		healthPath:     n.healthPath,
 		targetSettings: func() dfusettings.Target { return n.latest.Load().Target },
 		cfg: dfutarget.Config{
 			AnswerLimit:  n.settings.Limits.Answer,
--- a/io/process/dfunode/target.go
+++ b/io/process/dfunode/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/json"
 	"net/netip"
 	"slices"
@@ -81,9 +82,13 @@
 	cfg            dfutarget.Config
 	targetSettings func() dfusettings.Target
 	advertise      func(advertisedTarget)
+	// healthPath returns the path of the target's health check, or "" while it is not
+	// known.
+	healthPath func() string
 
-	mu      sync.Mutex
-	tracker dfuinstance.Tracker
+	mu        sync.Mutex
+	confirmer dfuinstance.Confirmer
+	tracker   dfuinstance.Tracker
 	// present is set while current, the newest announcement, is neither withdrawn
 	// nor expired.
 	present       bool
@@ -105,10 +110,61 @@
 	t.applyAnnouncement(a)
 }
 
-// applyAnnouncement applies an announcement unless a later one has been received.
+// applyAnnouncement applies an announcement, after a check of the target if the
+// announcement may have been sent before the target left.
 func (t *localTarget) applyAnnouncement(a dfuinstance.Announcement) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.confirmer.Check(a) {
+		t.apply(a)
+		return
+	}
+	t.log.Info("announcement to be confirmed", zap.String("instance", string(a.Instance)),
+		zap.Int64("born", int64(a.Born)), zap.Uint64("sequence", a.Sequence))
+	go t.confirm(a)
+}
+
+const (
+	// healthCheckTimeout bounds the check of a target.
+	healthCheckTimeout = 500 * time.Millisecond
+	// healthPathPollPeriod is how often a check that waits for the routes looks for
+	// the path.
+	healthPathPollPeriod = 20 * time.Millisecond
+)
+
+// confirm checks the target and then applies its announcement, unless another one has
+// taken its place.
+func (t *localTarget) confirm(a dfuinstance.Announcement) {
+	path := t.healthPath()
+	for end := time.Now().Add(t.announcementTTL().Std()); path == "" && time.Now().Before(end); path = t.healthPath() {
+		time.Sleep(healthPathPollPeriod)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), healthCheckTimeout)
+	defer cancel()
+	client := dfutarget.New(t.clientConfig(a))
+	defer client.Close()
+	healthy, err := client.CheckHealth(ctx, path)
+	if !healthy {
+		t.log.Warn("target not confirmed", zap.String("instance", string(a.Instance)), zap.Error(err))
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.confirmer.Confirm(a) {
+		t.apply(a)
+	}
+}
+
+// clientConfig returns the configuration of a client for the announced target.
+func (t *localTarget) clientConfig(a dfuinstance.Announcement) dfutarget.Config {
+	cfg := t.cfg
+	cfg.Address = a.Address
+	cfg.Instance = a.Instance
+	return cfg
+}
+
+// apply applies an announcement unless a later one has been received. mu must be held.
+func (t *localTarget) apply(a dfuinstance.Announcement) {
 	result := t.tracker.Apply(a)
 	if result == dfuinstance.Outdated {
 		t.log.Info("outdated announcement ignored", zap.String("instance", string(a.Instance)),
@@ -122,11 +178,8 @@
 	if result == dfuinstance.NewRun || !t.present || old.Address != a.Address || old.Service != a.Service || old.Slots != a.Slots {
 		t.log.Info("target announced", zap.String("service", string(a.Service)), zap.String("address", string(a.Address)),
 			zap.String("instance", string(a.Instance)), zap.Int("slots", a.Slots), zap.Bool("draining", a.Draining))
-		cfg := t.cfg
-		cfg.Address = a.Address
-		cfg.Instance = a.Instance
 		t.present = true
-		t.gate.SetTarget(dfutarget.New(cfg), event)
+		t.gate.SetTarget(dfutarget.New(t.clientConfig(a)), event)
 		t.applyDrainState()
 		return
 	}
@@ -144,6 +197,7 @@
 func (t *localTarget) removeInstance(instance dfuident.Instance, now dfuinstance.UnixMs) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.confirmer.MarkLeft(instance)
 	if !t.tracker.MarkLeft(instance, now) {
 		return
 	}
