--- a/io/connection/dfuserver/server_test.go
+++ b/io/connection/dfuserver/server_test.go
@@ -231,6 +231,7 @@
 	s.CloseConnections()
 	_, err = io.WriteString(conn, "TP/1.1\r\nHost: a\r\n\r\n"+get("/4"))
 	is.NoErr(err)
+	time.Sleep(20 * time.Millisecond) // the server has read the third request
 	g.release("/2")
 	g.release("/1")
 	r := bufio.NewReader(conn)
