--- a/io/connection/dfuserver/conn.go
+++ b/io/connection/dfuserver/conn.go
@@ -364,7 +364,7 @@
 	err := writeResponse(w, x, a.Close)
 	w.Reset(nil)
 	c.server.writers.Put(w)
-	if x.OnWritten != nil {
+	if err == nil && x.OnWritten != nil {
 		x.OnWritten(held)
 	}
 	c.releaseExchange(x)
--- a/io/process/dfucontrol/page.go
+++ b/io/process/dfucontrol/page.go
@@ -20,8 +20,8 @@
 
 const (
 	// firstWriteSpread is the maximum random delay before a node that found no
-	// other node of its zone writes the zone page. The first write tells the others
-	// whom to contact.
+	// other node of its zone writes the zone page. The others make contact with the
+	// node that writes first.
 	firstWriteSpread = 500 * dfuclock.Millisecond
 	// contactTimeout is how long a node that found others of its zone on the page
 	// waits for contact with one of them.
