--- a/io/connection/dfutarget/client.go
+++ b/io/connection/dfutarget/client.go
@@ -400,9 +400,8 @@
 }
 
 // isForwarded reports whether a response header is passed on unchanged.
-// Content-Length is dropped because fasthttp computes it again when it writes the
-// response to the caller. Date is dropped and not replaced: the server for callers
-// has NoDefaultDate set, and fasthttp ignores a Date that is added to a response.
+// Content-Length is dropped because the server for callers computes it again. Date is
+// dropped and not replaced.
 func isForwarded(name string) bool {
 	return name != fasthttp.HeaderContentLength && name != fasthttp.HeaderDate
 }
--- a/io/process/dfunode/crash_reports.go
+++ b/io/process/dfunode/crash_reports.go
@@ -121,7 +121,7 @@
 		case <-time.After(reportRetryDelay):
 		}
 	}
-	r.log.Warn("a node was not told of a crash", zap.Stringer("to", to.Member))
+	r.log.Warn("crash report not delivered", zap.Stringer("to", to.Member))
 }
 
 // events returns the events that the report causes at the receiving gate.
--- a/io/process/dfunode/instance.go
+++ b/io/process/dfunode/instance.go
@@ -84,8 +84,8 @@
 }
 
 // handleInstance handles PUT and DELETE of /dragonflyusher/targets/INSTANCE. A
-// response without an error means that this node has applied the request, or
-// ignored it as outdated.
+// response without an error means that this node has applied the request, ignored it
+// as outdated, or checks the target before it applies it.
 func (t *localTarget) handleInstance(ctx *fasthttp.RequestCtx, instance dfuident.Instance) {
 	switch {
 	case ctx.IsPut():
