--- a/core/version/dfurecord/exchange.go
+++ b/core/version/dfurecord/exchange.go
@@ -78,6 +78,13 @@
 	// Reads is the number of store reads requested, because the copy was too
 	// old or a record was MaybeDeleted.
 	Reads uint64 `json:"reads"`
+	// FetchTimeouts is the number of keys that a peer did not provide within
+	// FetchTimeout.
+	FetchTimeouts uint64 `json:"fetch_timeouts"`
+	// ReceivedBytes is the size of the records that peers provided, and
+	// RedundantBytes that of those that the node already held.
+	ReceivedBytes  dfuident.Bytes `json:"received_bytes"`
+	RedundantBytes dfuident.Bytes `json:"redundant_bytes"`
 }
 
 // Exchange synchronizes a node's set with the store and with its peers. A few
@@ -233,6 +240,7 @@
 		if now.Before(f.deadline) {
 			continue
 		}
+		x.counts.FetchTimeouts++
 		delete(x.pendingFetches, key)
 		if f.alternative != (Peer{}) {
 			retries[f.alternative] = append(retries[f.alternative], key)
@@ -434,8 +442,11 @@
 	for _, r := range msg.Records {
 		delete(x.pendingFetches, r.Key)
 		result := x.set.MergeFromPeer(r)
+		x.counts.ReceivedBytes += r.Size()
 		if result.Changed() {
 			x.markChanged(r.Key, x.synced)
+		} else {
+			x.counts.RedundantBytes += r.Size()
 		}
 		if result == MaybeDeleted && !now.Before(x.nextMaybeDeletedReadAt) {
 			x.nextMaybeDeletedReadAt = now.Add(x.maxAge())
--- a/io/process/dfucontrol/owner.go
+++ b/io/process/dfucontrol/owner.go
@@ -10,6 +10,7 @@
 	"dragonflyusher/core/process/dfumembership"
 	"dragonflyusher/core/version/dfurecord"
 	"dragonflyusher/core/version/dfuroster"
+	"dragonflyusher/core/version/dfuroute"
 	"dragonflyusher/io/process/dfustore"
 
 	"go.uber.org/zap"
@@ -92,6 +93,8 @@
 // call of a peer waits for it.
 func (l *eventLoop) step(event dfuroster.Event, answer chan<- dfuroster.Packet) {
 	var reply dfuroster.Packet
+	before := l.keeper.View().Routes()
+	defer func() { l.logRoutes(before, event) }()
 	for _, action := range l.keeper.Step(l.control.deps.Clock.Now(), event) {
 		switch a := action.(type) {
 		case dfuroster.Send:
@@ -121,6 +124,23 @@
 	}
 }
 
+// logRoutes logs the version of the routes if the event changed it, and where the
+// routes came from.
+func (l *eventLoop) logRoutes(before *dfuroute.Table, event dfuroster.Event) {
+	routes := l.keeper.View().Routes()
+	if routes == before {
+		return
+	}
+	source := "store"
+	if e, ok := event.(dfuroster.Received); ok && e.Packet.Records != nil {
+		source = string(e.Packet.Records.From.Node)
+	}
+	record := l.keeper.Exchange().Set().Revisions(dfustore.RoutesKey)
+	l.control.deps.Log.Info("routes in force", zap.Uint64("version", uint64(routes.Version)),
+		zap.Uint64("revision", uint64(record.InForce)), zap.String("source", source),
+		zap.Int("routes", len(routes.Routes)))
+}
+
 // publish makes a new view available to the readers.
 func (l *eventLoop) publish(view *dfuroster.View) {
 	l.statusStale = true
--- a/io/process/dfunode/metrics.go
+++ b/io/process/dfunode/metrics.go
@@ -57,6 +57,9 @@
 	set(metrics.GetOrRegisterGauge("control.records_age_ms", n.metrics), int64(status.Age))
 	set(metrics.GetOrRegisterGauge("control.failed_calls", n.metrics), int64(status.FailedCalls))
 	set(metrics.GetOrRegisterGauge("control.dropped", n.metrics), int64(status.InboxRefused+status.OutboxRefused))
+	set(metrics.GetOrRegisterGauge("control.fetch_timeouts", n.metrics), int64(status.Exchange.FetchTimeouts))
+	set(metrics.GetOrRegisterGauge("control.received_bytes", n.metrics), int64(status.Exchange.ReceivedBytes))
+	set(metrics.GetOrRegisterGauge("control.redundant_bytes", n.metrics), int64(status.Exchange.RedundantBytes))
 	if routes := n.control.View().Routes(); routes != nil {
 		set(metrics.GetOrRegisterGauge("control.routes_version", n.metrics), int64(routes.Version))
 	}
