--- a/core/version/dfurecord/digest.go
+++ b/core/version/dfurecord/digest.go
@@ -73,8 +73,9 @@
 // Records returns the records of the given keys for a peer. It stops before the
 // total size exceeds limit, but returns the records of at least one key. A key
 // whose newest value is invalid gives two records, the one in force and the
-// newest, so that the peer ends with the same two revisions.
-func (s *Set) Records(keys []string, limit dfuident.Bytes) []Record {
+// newest, so that the peer ends with the same two revisions. Large values are
+// compressed if the peer accepts that.
+func (s *Set) Records(keys []string, limit dfuident.Bytes, acceptsPacked bool) []Record {
 	var records []Record
 	var size dfuident.Bytes
 	for _, key := range keys {
@@ -82,7 +83,7 @@
 		if !ok {
 			continue
 		}
-		keyRecords := state.records()
+		keyRecords := state.records(acceptsPacked)
 		for _, r := range keyRecords {
 			size += r.Size()
 		}
@@ -94,24 +95,25 @@
 	return records
 }
 
-// Size returns the approximate size of the record in a message.
+// Size returns the approximate size of the record in a message, where it has either
+// its value or the compressed form.
 func (r Record) Size() dfuident.Bytes {
 	const overhead = 16
-	return dfuident.Bytes(len(r.Key) + len(r.Value) + overhead)
+	return dfuident.Bytes(len(r.Key) + len(r.Value) + len(r.Packed) + overhead)
 }
 
 func (s *Set) bucketDiffers(peerBuckets []uint64, bucket int) bool {
 	return len(peerBuckets) != bucketCount || peerBuckets[bucket] != s.buckets[bucket]
 }
 
-func (state *keyState) records() []Record {
+func (state *keyState) records(acceptsPacked bool) []Record {
 	if state.invalid == "" {
-		return []Record{state.inForce}
+		return []Record{state.inForce.forPeer(acceptsPacked)}
 	}
 	if state.inForce.Revision == 0 {
-		return []Record{state.noted}
+		return []Record{state.noted.forPeer(acceptsPacked)}
 	}
-	return []Record{state.inForce, state.noted}
+	return []Record{state.inForce.forPeer(acceptsPacked), state.noted.forPeer(acceptsPacked)}
 }
 
 func (s Summary) hash() uint64 {
--- a/core/version/dfurecord/exchange.go
+++ b/core/version/dfurecord/exchange.go
@@ -85,6 +85,8 @@
 	// RedundantBytes that of those that the node already held.
 	ReceivedBytes  dfuident.Bytes `json:"received_bytes"`
 	RedundantBytes dfuident.Bytes `json:"redundant_bytes"`
+	// Corrupt is the number of records whose compressed value was corrupt or too large.
+	Corrupt uint64 `json:"corrupt"`
 }
 
 // Exchange synchronizes a node's set with the store and with its peers. A few
@@ -327,14 +329,14 @@
 	case Advert:
 		x.fetch(now, msg.From, x.newerKeys(msg.Summaries))
 	case Fetch:
-		x.transfer(msg.From, msg.Keys)
+		x.transfer(msg.From, msg.Keys, msg.AcceptsPacked)
 	case Transfer:
 		x.mergeTransfer(now, msg)
 	case CompareRequest:
 		x.emit(Send{To: msg.From, Message: Message{
 			Kind: CompareReply, From: x.self,
 			Buckets: x.set.Buckets(), Summaries: x.set.Summaries(msg.Buckets),
-			Standing: x.Standing(now),
+			Standing: x.Standing(now), AcceptsPacked: true,
 		}})
 	case CompareReply:
 		x.finishCompare(now, msg)
@@ -389,7 +391,7 @@
 	wanted, newer := x.set.Compare(msg.Buckets, msg.Summaries)
 	x.fetch(now, msg.From, wanted)
 	if len(newer) > 0 {
-		x.transfer(msg.From, newer)
+		x.transfer(msg.From, newer, msg.AcceptsPacked)
 	}
 	if len(wanted) == 0 && len(newer) == 0 {
 		x.confirmFromPeer(now, msg.Standing)
@@ -425,12 +427,12 @@
 	}
 	if len(requested) > 0 {
 		x.counts.Fetches++
-		x.emit(Send{To: from, Message: Message{Kind: Fetch, From: x.self, Keys: requested}})
+		x.emit(Send{To: from, Message: Message{Kind: Fetch, From: x.self, Keys: requested, AcceptsPacked: true}})
 	}
 }
 
-func (x *Exchange) transfer(to Peer, keys []string) {
-	records := x.set.Records(keys, x.cfg.TransferBytes)
+func (x *Exchange) transfer(to Peer, keys []string, acceptsPacked bool) {
+	records := x.set.Records(keys, x.cfg.TransferBytes, acceptsPacked)
 	if len(records) > 0 {
 		x.emit(Send{To: to, Message: Message{Kind: Transfer, From: x.self, Records: records}})
 	}
@@ -440,13 +442,18 @@
 // copy compares again until no difference is left.
 func (x *Exchange) mergeTransfer(now dfuclock.Time, msg Message) {
 	for _, r := range msg.Records {
+		size := r.Size()
+		x.counts.ReceivedBytes += size
+		if err := r.unpack(x.set.limits.ValueBytes); err != nil {
+			x.counts.Corrupt++
+			continue
+		}
 		delete(x.pendingFetches, r.Key)
 		result := x.set.MergeFromPeer(r)
-		x.counts.ReceivedBytes += r.Size()
 		if result.Changed() {
 			x.markChanged(r.Key, x.synced)
 		} else {
-			x.counts.RedundantBytes += r.Size()
+			x.counts.RedundantBytes += size
 		}
 		if result == MaybeDeleted && !now.Before(x.nextMaybeDeletedReadAt) {
 			x.nextMaybeDeletedReadAt = now.Add(x.maxAge())
--- a/core/version/dfurecord/message.go
+++ b/core/version/dfurecord/message.go
@@ -49,6 +49,9 @@
 	Records   []Record  `json:"records,omitempty"`
 	Buckets   []uint64  `json:"buckets,omitempty"`
 	Standing  Standing  `json:"standing,omitzero"`
+	// AcceptsPacked is set in a request, or in the reply to a CompareRequest, if the
+	// sender accepts compressed values.
+	AcceptsPacked bool `json:"accepts_packed,omitempty"`
 }
 
 // Standing describes the content and the age of a copy.
--- a/core/version/dfurecord/record.go
+++ b/core/version/dfurecord/record.go
@@ -8,8 +8,11 @@
 
 // Record is the state of one store key at one revision.
 type Record struct {
-	Key      string            `json:"key"`
-	Value    []byte            `json:"value,omitempty"`
+	Key   string `json:"key"`
+	Value []byte `json:"value,omitempty"`
+	// Packed is the value compressed with DEFLATE (RFC 1951), or nil. In a message from
+	// a peer it replaces Value.
+	Packed   []byte            `json:"packed,omitempty"`
 	Revision dfuident.Revision `json:"revision"`
 	// Deleted marks a tombstone. A tombstone has no value.
 	Deleted bool `json:"deleted,omitempty"`
--- a/io/process/dfucontrol/watch.go
+++ b/io/process/dfucontrol/watch.go
@@ -174,7 +174,7 @@
 func toRecords(records []dfustore.Record) []dfurecord.Record {
 	converted := make([]dfurecord.Record, len(records))
 	for i, r := range records {
-		converted[i] = dfurecord.Record(r)
+		converted[i] = dfurecord.Record{Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted}
 	}
 	return converted
 }
--- a/measure/dfufleet/fleet.go
+++ b/measure/dfufleet/fleet.go
@@ -22,6 +22,14 @@
 	Membership   dfumembership.Config
 	// CountBytes makes the fleet encode each packet to count its bytes.
 	CountBytes bool
+	// RoutesKey is the key of the route table; empty if there is none.
+	RoutesKey string
+	// LinkRate is the bandwidth of each node's link in bytes per millisecond, and
+	// CallTimeout the time after which a node no longer accepts the answer to a packet.
+	// Packets take no time and no answer is too late if LinkRate is zero. Otherwise
+	// CountBytes must be set.
+	LinkRate    int
+	CallTimeout dfuclock.Duration
 }
 
 // DefaultConfig returns a configuration with the network delays in the users'
@@ -51,6 +59,10 @@
 	// heldEvents holds the events that arrived while the node was paused.
 	heldEvents []dfuroster.Event
 	watch      watchState
+	// outboundFree and inboundFree are when the node's link has transferred all
+	// earlier packets.
+	outboundFree dfuclock.Time
+	inboundFree  dfuclock.Time
 }
 
 // Traffic counts packets and bytes. The Link fields are the part sent to another
@@ -75,6 +87,8 @@
 	pathsDown map[[2]dfuident.NodeID]bool
 	store     store
 	sizer     *sizer
+	// callSentAt is that of the event that is being delivered.
+	callSentAt dfuclock.Time
 
 	// OnPublish, if not nil, is called with every view that a node publishes and
 	// the view before.
@@ -171,7 +185,8 @@
 		Limits:          dfurecord.DefaultLimits(),
 		CataloguePrefix: "catalogue/",
 		ClaimsPrefix:    "claims/",
-		Exchange:        dfurecord.DefaultExchangeConfig("catalogue/", "claims/"),
+		RoutesKey:       f.cfg.RoutesKey,
+		Exchange:        dfurecord.DefaultExchangeConfig(f.prefixes()...),
 	}
 	n.Keeper = dfuroster.NewKeeper(self, cfg, rand.New(rand.NewPCG(f.rng.Uint64(), f.rng.Uint64())))
 	n.nextTick = f.now.Add(dfuclock.Duration(f.rng.Int64N(int64(f.cfg.Membership.TickPeriod))))
@@ -287,6 +302,7 @@
 		f.tick(n)
 		return
 	}
+	f.callSentAt = a.callSentAt
 	if n.paused {
 		n.heldEvents = append(n.heldEvents, a.event)
 		return
@@ -298,6 +314,7 @@
 	if n.paused || f.now.Before(n.nextTick) {
 		return
 	}
+	f.callSentAt = f.now
 	f.step(n, dfuroster.Tick{})
 	f.watchStore(n)
 	f.readPages(n)
@@ -330,16 +347,36 @@
 	if to == nil {
 		return
 	}
-	f.countTraffic(from, to, s)
+	size := f.countTraffic(from, to, s)
 	down := f.linksDown[[2]dfuident.Region{from.Place.Region, to.Place.Region}] ||
 		f.pathsDown[[2]dfuident.NodeID{from.Member.Node, to.Member.Node}]
 	if down || f.rng.IntN(1000) < f.cfg.LossPerMille {
 		return
 	}
-	f.schedule(scheduledEvent{at: f.now.Add(f.delay(from.Place, to.Place)), node: to, event: dfuroster.Received{Packet: s.Packet}})
+	at := f.transferEnd(f.now, &from.outboundFree, size).Add(f.delay(from.Place, to.Place))
+	at = f.transferEnd(at, &to.inboundFree, size)
+	event := scheduledEvent{at: at, node: to, event: dfuroster.Received{Packet: s.Packet}, callSentAt: f.now}
+	if s.Answer {
+		event.callSentAt = f.callSentAt
+	}
+	if s.Answer && f.cfg.LinkRate > 0 && at.Sub(f.callSentAt) > f.cfg.CallTimeout {
+		return
+	}
+	f.schedule(event)
+}
+
+// transferEnd returns when a link has transferred a packet that is ready at a time,
+// after all earlier ones, and updates the time at which the link is free.
+func (f *Fleet) transferEnd(ready dfuclock.Time, free *dfuclock.Time, size int) dfuclock.Time {
+	if f.cfg.LinkRate == 0 {
+		return ready
+	}
+	*free = max(*free, ready).Add(dfuclock.Duration(size / f.cfg.LinkRate))
+	return *free
 }
 
-func (f *Fleet) countTraffic(from, to *Node, s dfuroster.Send) {
+// countTraffic counts a packet and returns its size, or zero if bytes aren't counted.
+func (f *Fleet) countTraffic(from, to *Node, s dfuroster.Send) int {
 	size := 0
 	if f.cfg.CountBytes {
 		size = f.sizer.size(s.Packet) + overhead(s.Answer)
@@ -350,6 +387,7 @@
 		from.Sent.LinkPackets++
 		from.Sent.LinkBytes += size
 	}
+	return size
 }
 
 func (f *Fleet) delay(a, b dfuident.Place) dfuclock.Duration {
@@ -371,6 +409,8 @@
 	sequence uint64
 	node     *Node
 	event    dfuroster.Event
+	// callSentAt is when the call was sent to which the event may bring an answer.
+	callSentAt dfuclock.Time
 }
 
 type eventQueue []scheduledEvent
