--- a/core/request/dfuattempt/reply.go
+++ b/core/request/dfuattempt/reply.go
@@ -62,7 +62,7 @@
 // isBusy reports whether a gate refused because its target is busy.
 func isBusy(reason dfuoutcome.Reason) bool {
 	switch reason {
-	case dfuoutcome.ReasonQueueFull, dfuoutcome.ReasonTargetSlow, dfuoutcome.ReasonObjectiveMissed:
+	case dfuoutcome.ReasonQueueFull, dfuoutcome.ReasonTargetSlow, dfuoutcome.ReasonTargetLimited, dfuoutcome.ReasonObjectiveMissed:
 		return true
 	default:
 		return false
--- a/core/request/dfugate/dispatch.go
+++ b/core/request/dfugate/dispatch.go
@@ -11,10 +11,14 @@
 // deadline again, since the process may have been paused for any length of time.
 func (m *Machine) dispatch(now dfuclock.Time) {
 	m.shedLate(now)
+	if !m.targetLimit.bucket.allows(now) {
+		m.slowdown.nextRequestAt = 0
+		return
+	}
 	if !m.mayDispatch(now) {
 		return
 	}
-	for len(m.running) < m.slots() {
+	for len(m.running) < m.slots() && m.targetLimit.bucket.allows(now) {
 		r := m.next(now)
 		if r == nil {
 			return
@@ -61,6 +65,7 @@
 
 func (m *Machine) run(now dfuclock.Time, r *request) {
 	m.queue.remove(r)
+	m.targetLimit.bucket.take()
 	r.state = stateRunning
 	r.started = now
 	m.running = append(m.running, r)
--- a/core/request/dfugate/event.go
+++ b/core/request/dfugate/event.go
@@ -84,6 +84,8 @@
 	// Failed is set if the answer is an error. The run time is then not used as a
 	// sample.
 	Failed bool
+	// Limit is the limit of the rate of requests that the answer names, or zero.
+	Limit Rate
 }
 
 // TargetFailed reports that a request ended without an answer from the target.
@@ -112,6 +114,8 @@
 	// Cold is set if the target has just started and its load has to be increased
 	// gradually.
 	Cold bool
+	// Limit is the limit that the target named when it was checked before, or zero.
+	Limit Rate
 }
 
 // TargetWithdrawn reports that the local target accepts no more requests. Running
--- a/core/request/dfugate/machine.go
+++ b/core/request/dfugate/machine.go
@@ -1,6 +1,8 @@
 package dfugate
 
 import (
+	"math"
+
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuheap"
 	"dragonflyusher/core/process/dfuident"
@@ -74,7 +76,8 @@
 	self dfuident.Member
 
 	limits          Limits
-	rate            rateLimit
+	rate            tokenBucket
+	targetLimit     targetLimit
 	target          target
 	meanServiceTime serviceTime
 	runTimesByKind  map[dfuident.Kind]*runTimeEstimates
@@ -188,7 +191,7 @@
 		outcomes:        newOutcomes(cfg.VerdictsMax, cfg.EntriesMax),
 		bodyWindow:      newBodyWindow(cfg.LinkRate),
 	}
-	m.rate.change(0, cfg.Limits.RatePerSecond)
+	m.rate.fill(0, Rate(cfg.Limits.RatePerSecond))
 	return m
 }
 
@@ -225,7 +228,7 @@
 		m.claimDenied(e)
 	case LimitsChanged:
 		m.limits = e.Limits
-		m.rate.change(now, e.Limits.RatePerSecond)
+		m.rate.fill(now, Rate(e.Limits.RatePerSecond))
 	case DrainRequested:
 		m.draining = true
 		m.refuseWaiting(dfuoutcome.ReasonDraining)
@@ -260,6 +263,9 @@
 	if m.slowdown.nextRequestAt != 0 {
 		consider(m.slowdown.nextRequestAt)
 	}
+	if at, limited := m.nextTokenAt(); limited {
+		consider(at)
+	}
 	return next, due
 }
 
@@ -267,7 +273,7 @@
 func (m *Machine) Load() Load {
 	return Load{
 		InFlight:    uint16(len(m.running)),
-		Queued:      uint16(m.waiting()),
+		Queued:      uint16(min(m.queuedWithLimit(), math.MaxUint16)),
 		Slots:       uint16(m.slots()),
 		ServiceTime: m.meanServiceTime.mean(),
 		Slowdown:    m.slowdown.currentPercent(m.now),
--- a/core/request/dfugate/offer.go
+++ b/core/request/dfugate/offer.go
@@ -131,6 +131,8 @@
 		return dfuoutcome.ReasonCrashSuspect
 	case !m.rate.allows(now):
 		return dfuoutcome.ReasonRateLimited
+	case m.exceedsTargetLimit(now, r):
+		return dfuoutcome.ReasonTargetLimited
 	case m.wouldMissDeadline(now, r):
 		return dfuoutcome.ReasonDeadlineTooShort
 	case m.wouldMissObjective(now, r):
@@ -167,10 +169,16 @@
 
 // expectedWait returns the expected time until a newly arrived request gets a slot.
 func (m *Machine) expectedWait(r *request) dfuclock.Duration {
-	position := dfuclock.Duration(m.queue.ahead(r.class) + m.awaitingClaim + len(m.awaitingLoad) + len(m.bodyWindow.pending) + len(m.bodyWindow.inFlight) + 1)
+	position := dfuclock.Duration(m.ahead(r.class) + 1)
 	return m.meanServiceTime.mean() * position / dfuclock.Duration(max(m.slots(), 1))
 }
 
+// ahead returns the number of waiting requests that may run before a newly arrived one of
+// a class.
+func (m *Machine) ahead(class Class) int {
+	return m.queue.ahead(class) + m.awaitingClaim + len(m.awaitingLoad) + len(m.bodyWindow.pending) + len(m.bodyWindow.inFlight)
+}
+
 func (m *Machine) shed(victim, r *request) {
 	reason := dfuoutcome.ReasonQueueFull
 	if victim.class > r.class {
--- a/core/request/dfugate/rate.go
+++ b/core/request/dfugate/rate.go
@@ -1,42 +1,56 @@
 package dfugate
 
-import "dragonflyusher/core/process/dfuclock"
+import (
+	"math"
+
+	"dragonflyusher/core/process/dfuclock"
+)
+
+// Rate is a number of requests per second. Zero means unlimited.
+type Rate float64
 
 // milliTokensPerToken is the number of milliTokens in a token. At a rate of one token per
 // second, a millisecond adds one milliToken.
 const milliTokensPerToken = 1000
 
-// rateLimit is a token bucket whose capacity is the tokens of one second. Its tokens field
-// counts milliTokens.
-type rateLimit struct {
-	perSecond  int
-	tokens     int64
+// tokenBucket limits the rate of requests. Its capacity and its tokens are in milliTokens.
+type tokenBucket struct {
+	rate       Rate
+	capacity   float64
+	tokens     float64
 	refilledAt dfuclock.Time
 }
 
-func (l *rateLimit) change(now dfuclock.Time, perSecond int) {
-	if perSecond == l.perSecond {
+// fill replaces the rate and fills the bucket with the tokens of a second.
+func (b *tokenBucket) fill(now dfuclock.Time, rate Rate) {
+	if rate == b.rate {
 		return
 	}
-	l.perSecond = perSecond
-	l.tokens = int64(perSecond) * milliTokensPerToken
-	l.refilledAt = now
+	b.rate = rate
+	b.capacity = float64(rate) * milliTokensPerToken
+	b.tokens = b.capacity
+	b.refilledAt = now
 }
 
 // allows refills the bucket and reports whether it holds a token, without taking it.
-func (l *rateLimit) allows(now dfuclock.Time) bool {
-	if l.perSecond == 0 {
-		return true
+func (b *tokenBucket) allows(now dfuclock.Time) bool {
+	return b.wait(now, 1) == 0
+}
+
+// wait refills the bucket and returns the time until it will have supplied n tokens.
+func (b *tokenBucket) wait(now dfuclock.Time, n int) dfuclock.Duration {
+	if b.rate == 0 {
+		return 0
 	}
-	capacity := int64(l.perSecond) * milliTokensPerToken
-	elapsed := min(now.Sub(l.refilledAt), dfuclock.Second)
-	l.tokens = min(capacity, l.tokens+int64(elapsed)*int64(l.perSecond))
-	l.refilledAt = now
-	return l.tokens >= milliTokensPerToken
+	elapsed := now.Sub(b.refilledAt)
+	b.tokens = min(b.capacity, b.tokens+float64(elapsed)*float64(b.rate))
+	b.refilledAt = now
+	missing := float64(n)*milliTokensPerToken - b.tokens
+	return dfuclock.Duration(max(0, math.Ceil(missing/float64(b.rate))))
 }
 
-func (l *rateLimit) take() {
-	if l.perSecond > 0 {
-		l.tokens -= milliTokensPerToken
+func (b *tokenBucket) take() {
+	if b.rate > 0 {
+		b.tokens -= milliTokensPerToken
 	}
 }
--- a/core/request/dfugate/target.go
+++ b/core/request/dfugate/target.go
@@ -50,6 +50,8 @@
 	// Slowdown is the current processing time on the target's VM in percent of the
 	// normal one, or zero if the target doesn't report it.
 	Slowdown int
+	// Limit is the limit of the rate of requests that is named beside the load, or zero.
+	Limit Rate
 }
 
 // findRunning returns the running request with the ID. For any other ID it logs a stray
@@ -68,6 +70,7 @@
 	if r == nil {
 		return
 	}
+	m.targetLimit.observe(now, r.started, e.Limit)
 	if !e.Failed && r.canceled == dfuoutcome.ReasonNone {
 		m.meanServiceTime.add(now.Sub(r.started))
 		m.observeRunTime(r.kind, now.Sub(r.started))
@@ -123,6 +126,9 @@
 	if !m.target.up && e.Cold {
 		m.target.warmSlots = max(1, e.Slots/coldSlotsDivisor)
 	}
+	if e.Limit > 0 {
+		m.targetLimit.name(m.now, e.Limit)
+	}
 	m.target.up = true
 	m.target.service = e.Service
 	m.target.slots = e.Slots
--- /dev/null
+++ b/core/request/dfugate/target_limit.go
@@ -0,0 +1,101 @@
+package dfugate
+
+import (
+	"dragonflyusher/core/process/dfuclock"
+)
+
+// A target can limit the rate of its requests: while it is in need, each answer names the
+// limit. Only the gate enforces it, since every request to the target passes through
+// the gate, whichever entry node it comes from.
+const (
+	// limitBurst is the time whose tokens may be spent at once. It evens out
+	// random arrivals and is short enough that a gate that starts again, with a new
+	// bucket, doesn't exceed the limit by much.
+	limitBurst = 250 * dfuclock.Millisecond
+	// minTargetRate is the lowest rate that the gate applies. The answer to a request
+	// is what shows that a limit no longer applies, so some requests must pass.
+	minTargetRate = Rate(0.2)
+)
+
+// targetLimit is the limit that the target has named.
+type targetLimit struct {
+	bucket tokenBucket
+	// namedAt is when the target last named it.
+	namedAt dfuclock.Time
+}
+
+// name records that an answer names a limit. The bucket is empty at first, since the
+// target has just had more requests than it takes.
+func (l *targetLimit) name(now dfuclock.Time, rate Rate) {
+	rate = max(rate, minTargetRate)
+	l.namedAt = now
+	if l.bucket.rate == 0 {
+		l.bucket = tokenBucket{refilledAt: now}
+	}
+	l.bucket.wait(now, 0)
+	l.bucket.rate = rate
+	l.bucket.capacity = max(milliTokensPerToken, float64(rate)*float64(limitBurst))
+	l.bucket.tokens = min(l.bucket.tokens, l.bucket.capacity)
+}
+
+// observe records the limit in an answer, zero if it names none, to a request that was
+// handed over at started. Answers can overtake each other, so the limit ends only with the
+// answer to a request that the target got after it had last named one.
+func (l *targetLimit) observe(now, started dfuclock.Time, rate Rate) {
+	switch {
+	case rate > 0:
+		l.name(now, rate)
+	case l.bucket.rate > 0 && !started.Before(l.namedAt):
+		l.bucket = tokenBucket{}
+	}
+}
+
+// TargetLimit returns the limit that the target has named, or zero.
+func (m *Machine) TargetLimit() Rate {
+	return m.targetLimit.bucket.rate
+}
+
+// limitWait returns how long a newly arrived request has to wait because of the target's
+// limit.
+func (m *Machine) limitWait(now dfuclock.Time, class Class) dfuclock.Duration {
+	return m.targetLimit.bucket.wait(now, m.ahead(class)+1)
+}
+
+// exceedsTargetLimit reports whether a request has to be refused because of the target's
+// limit: if it may not wait, or if it would wait too long.
+func (m *Machine) exceedsTargetLimit(now dfuclock.Time, r *request) bool {
+	wait := m.limitWait(now, r.class)
+	switch {
+	case wait == 0:
+		return false
+	case r.noWait:
+		return true
+	case r.objective > 0 && !r.nested:
+		return r.objective.Before(now.Add(wait + m.conservative(r.kind)))
+	default:
+		return r.deadline.Before(now.Add(wait + m.expectedRunTime(r)))
+	}
+}
+
+// nextTokenAt returns when the next queued request may run, or false if the target's limit
+// doesn't hold it back.
+func (m *Machine) nextTokenAt() (dfuclock.Time, bool) {
+	if m.queue.length == 0 || len(m.running) >= m.slots() {
+		return 0, false
+	}
+	wait := m.targetLimit.bucket.wait(m.now, 1)
+	return m.now.Add(wait), wait > 0
+}
+
+// queuedWithLimit returns the number of queued requests to report to entry nodes. With a
+// limit, it is the length of the queue in which a request would wait as long.
+func (m *Machine) queuedWithLimit() int {
+	queued := m.waiting()
+	wait := m.limitWait(m.now, ClassCount-1)
+	if wait == 0 {
+		return queued
+	}
+	slots := m.slots()
+	perSlot := max(m.meanServiceTime.mean(), dfuclock.Millisecond)
+	return max(queued, slots-len(m.running)+int(wait*dfuclock.Duration(slots)/perSlot))
+}
--- a/core/request/dfuoutcome/outcome.go
+++ b/core/request/dfuoutcome/outcome.go
@@ -52,6 +52,7 @@
 	ReasonTargetLinkLost   Reason = "target_link_lost"
 	ReasonTargetRefused    Reason = "target_refused"
 	ReasonTargetSlow       Reason = "target_slow"
+	ReasonTargetLimited    Reason = "target_limited"
 	ReasonClassShed        Reason = "class_shed"
 )
 
--- a/io/connection/dfutarget/client.go
+++ b/io/connection/dfutarget/client.go
@@ -124,20 +124,34 @@
 	case result.ResponseMetadata.Load == nil:
 		return dfugate.TargetLoad{}, errNoLoad
 	}
-	return *result.ResponseMetadata.Load, nil
+	load := *result.ResponseMetadata.Load
+	load.Limit = result.ResponseMetadata.Limit
+	return load, nil
 }
 
-// CheckHealth reports whether the target is in service by its own account: its answer
-// at a path is a success and comes from the configured instance. If ctx is done first,
-// CheckHealth closes the connection.
-func (c *Client) CheckHealth(ctx context.Context, path string) (bool, error) {
+// Health is what a target reports of itself in its answer to a health check.
+type Health struct {
+	// InService is set if the answer is a success and comes from the configured
+	// instance.
+	InService bool
+	// Limit is the limit of the rate of requests that the target names; zero if it
+	// names none.
+	Limit dfugate.Rate
+}
+
+// CheckHealth returns what the target reports of itself at a path. If ctx is done first,
+// CheckHealth closes the connection and returns an error.
+func (c *Client) CheckHealth(ctx context.Context, path string) (Health, error) {
 	offer := &dfumessage.Offer{Method: fasthttp.MethodGet, URI: path, Idempotent: true}
 	result, err := c.run(ctx, offer, func(*fasthttp.RequestHeader) {})
 	if err != nil {
-		return false, err
+		return Health{}, err
 	}
 	instance := cmp.Or(result.ResponseMetadata.Instance, c.cfg.Instance)
-	return result.Answer.Status == fasthttp.StatusOK && instance == c.cfg.Instance, nil
+	return Health{
+		InService: result.Answer.Status == fasthttp.StatusOK && instance == c.cfg.Instance,
+		Limit:     result.ResponseMetadata.Limit,
+	}, nil
 }
 
 // Close closes the idle connections.
--- a/io/connection/dfutarget/dialect.go
+++ b/io/connection/dfutarget/dialect.go
@@ -46,6 +46,9 @@
 	IdleTime dfuclock.Duration
 	// Load is the load that the target reports, or nil.
 	Load *dfugate.TargetLoad
+	// Limit is the limit of the rate of requests that the target names; zero if it
+	// names none.
+	Limit dfugate.Rate
 }
 
 // The headers of requests to targets and of their responses.
--- a/io/process/dfunode/metrics.go
+++ b/io/process/dfunode/metrics.go
@@ -43,6 +43,9 @@
 	}
 }
 
+// milli is the factor of gauges that count thousandths.
+const milli = 1000
+
 // updateGauges sets the gauges from the current state of the process, the control
 // plane and the gate.
 func (n *Node) updateGauges() {
@@ -72,5 +75,6 @@
 		set(metrics.GetOrRegisterGauge("gate.waiting", n.metrics), int64(load.Queued))
 		set(metrics.GetOrRegisterGauge("gate.slots", n.metrics), int64(load.Slots))
 		set(metrics.GetOrRegisterGauge("gate.banned", n.metrics), int64(c.gate.Status().Banned))
+		set(metrics.GetOrRegisterGauge("gate.target_limit_milli", n.metrics), int64(c.gate.Status().TargetLimit*milli))
 	}
 }
--- a/io/process/dfunode/target.go
+++ b/io/process/dfunode/target.go
@@ -116,7 +116,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.confirmer.Check(a) {
-		t.apply(a)
+		t.apply(a, 0)
 		return
 	}
 	t.log.Info("announcement to be confirmed", zap.String("instance", string(a.Instance)),
@@ -143,15 +143,15 @@
 	defer cancel()
 	client := dfutarget.New(t.clientConfig(a))
 	defer client.Close()
-	healthy, err := client.CheckHealth(ctx, path)
-	if !healthy {
+	health, err := client.CheckHealth(ctx, path)
+	if !health.InService {
 		t.log.Warn("target not confirmed", zap.String("instance", string(a.Instance)), zap.Error(err))
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.confirmer.Confirm(a) {
-		t.apply(a)
+		t.apply(a, health.Limit)
 	}
 }
 
@@ -163,8 +163,9 @@
 	return cfg
 }
 
-// apply applies an announcement unless a later one has been received. mu must be held.
-func (t *localTarget) apply(a dfuinstance.Announcement) {
+// apply applies an announcement unless a later one has been received. limit is the limit
+// that the target has named in a check, or zero. mu must be held.
+func (t *localTarget) apply(a dfuinstance.Announcement, limit dfugate.Rate) {
 	result := t.tracker.Apply(a)
 	if result == dfuinstance.Outdated {
 		t.log.Info("outdated announcement ignored", zap.String("instance", string(a.Instance)),
@@ -174,7 +175,7 @@
 	t.lastAnnounced = t.clock.Now()
 	old := t.current
 	t.current = a
-	event := dfugate.TargetAnnounced{Service: a.Service, Slots: a.Slots, Cold: a.ColdFor > 0 && a.Instance == ""}
+	event := dfugate.TargetAnnounced{Service: a.Service, Slots: a.Slots, Cold: a.ColdFor > 0 && a.Instance == "", Limit: limit}
 	if result == dfuinstance.NewRun || !t.present || old.Address != a.Address || old.Service != a.Service || old.Slots != a.Slots {
 		t.log.Info("target announced", zap.String("service", string(a.Service)), zap.String("address", string(a.Address)),
 			zap.String("instance", string(a.Instance)), zap.Int("slots", a.Slots), zap.Bool("draining", a.Draining))
--- a/io/request/dfuadmission/controller.go
+++ b/io/request/dfuadmission/controller.go
@@ -52,6 +52,9 @@
 	// Banned is the number of fingerprints that are refused because their requests
 	// crashed targets.
 	Banned int
+	// TargetLimit is the limit that the target has named, in requests per second; zero
+	// if there is none.
+	TargetLimit dfugate.Rate
 	// Refused counts the offers that got no answer, by reason.
 	Refused map[dfuoutcome.Reason]int64
 }
@@ -126,12 +129,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return Status{
-		Load:      c.deps.Machine.Load(),
-		Draining:  c.draining,
-		Drained:   c.drained,
-		Measuring: c.measuring.Usage(dfubudget.CausePiggyback),
-		Banned:    c.deps.Machine.BanCount(c.deps.Clock.Now()),
-		Refused:   maps.Clone(c.refused),
+		Load:        c.deps.Machine.Load(),
+		Draining:    c.draining,
+		Drained:     c.drained,
+		Measuring:   c.measuring.Usage(dfubudget.CausePiggyback),
+		Banned:      c.deps.Machine.BanCount(c.deps.Clock.Now()),
+		TargetLimit: c.deps.Machine.TargetLimit(),
+		Refused:     maps.Clone(c.refused),
 	}
 }
 
--- a/io/request/dfuadmission/target.go
+++ b/io/request/dfuadmission/target.go
@@ -97,7 +97,9 @@
 		targetErr = err
 		switch dfutarget.Classify(result, err) {
 		case dfutarget.CompletionAnswered:
-			event = dfugate.TargetDone{ID: p.offer.ID, Failed: result.Answer.IsServerError()}
+			event = dfugate.TargetDone{
+				ID: p.offer.ID, Failed: result.Answer.IsServerError(), Limit: result.ResponseMetadata.Limit,
+			}
 		case dfutarget.CompletionNotRun:
 		case dfutarget.CompletionInterrupted:
 			crashed = instr.ctx.Err() == nil && !instr.client.Reachable()
