--- a/core/version/dfuinstance/confirmer.go
+++ b/core/version/dfuinstance/confirmer.go
@@ -9,21 +9,22 @@
 // run. The zero value is ready to use.
 type Confirmer struct {
 	// confirmed is the run whose announcements take effect.
-	confirmed run
+	confirmed Run
 	// pending is the latest announcement that waits for its confirmation, if
 	// hasPending is set.
 	pending    Announcement
 	hasPending bool
 }
 
-// run identifies a run of a target.
-type run struct {
-	instance dfuident.Instance
-	born     UnixMs
+// Run identifies a run of a target.
+type Run struct {
+	Instance dfuident.Instance
+	Born     UnixMs
 }
 
-func (a Announcement) run() run {
-	return run{a.Instance, a.Born}
+// Run returns the run of the target that sent the announcement.
+func (a Announcement) Run() Run {
+	return Run{a.Instance, a.Born}
 }
 
 // Check reports whether an announcement takes effect. If not, it waits for Confirm or
@@ -31,9 +32,9 @@
 // the first of its run, if it announces that the target drains, or if it has no
 // instance.
 func (c *Confirmer) Check(a Announcement) bool {
-	isSecond := c.hasPending && c.pending.run() == a.run() && a.Sequence > c.pending.Sequence
-	if a.Instance == "" || a.Draining || a.Sequence <= 1 || a.run() == c.confirmed || isSecond {
-		c.confirm(a.run())
+	isSecond := c.hasPending && c.pending.Run() == a.Run() && a.Sequence > c.pending.Sequence
+	if a.Instance == "" || a.Draining || a.Sequence <= 1 || a.Run() == c.confirmed || isSecond {
+		c.confirm(a.Run())
 		return true
 	}
 	if !c.hasPending || a.Born > c.pending.Born {
@@ -48,7 +49,7 @@
 	if !c.hasPending || c.pending != a {
 		return false
 	}
-	c.confirm(a.run())
+	c.confirm(a.Run())
 	return true
 }
 
@@ -59,7 +60,7 @@
 	}
 }
 
-func (c *Confirmer) confirm(r run) {
+func (c *Confirmer) confirm(r Run) {
 	c.confirmed = r
 	c.hasPending = false
 }
--- a/io/connection/dfutarget/client.go
+++ b/io/connection/dfutarget/client.go
@@ -50,6 +50,9 @@
 	IdleLimit int
 	IdleTime  dfuclock.Duration
 	Dialect   Dialect
+	// OnLeaving, unless nil, is called for each response in which the instance states
+	// that it is leaving, before the response is returned. It may block the request.
+	OnLeaving func()
 }
 
 // Client sends requests to one target.
@@ -257,6 +260,9 @@
 		cn.Close()
 		return Result{}, false, markInterrupted(errors.CombineErrors(pending.wait(), err))
 	}
+	if metadata.Leaving && !metadata.Replaced && cmp.Or(metadata.Instance, c.cfg.Instance) == c.cfg.Instance && c.cfg.OnLeaving != nil {
+		c.cfg.OnLeaving()
+	}
 	reusable := skipped == 0 && !resp.ConnectionClose() && cn.r.Buffered() == 0
 	select {
 	case <-pending.done:
--- a/io/connection/dfutarget/dialect.go
+++ b/io/connection/dfutarget/dialect.go
@@ -38,6 +38,8 @@
 	NotRun bool
 	// Replaced is set if another instance now uses the target's address.
 	Replaced bool
+	// Leaving is set if the target states that it is about to end.
+	Leaving bool
 	// Instance is the instance that the target states in its response to a health
 	// check; empty if it states none.
 	Instance dfuident.Instance
--- a/io/process/dfunode/target.go
+++ b/io/process/dfunode/target.go
@@ -94,6 +94,9 @@
 	present       bool
 	current       dfuinstance.Announcement
 	lastAnnounced dfuclock.Time
+	// leaving is the run of the target that has stated in a response that it is
+	// leaving; zero if there is none.
+	leaving       dfuinstance.Run
 	operatorDrain bool
 	stopping      bool
 	draining      bool
@@ -160,6 +163,7 @@
 	cfg := t.cfg
 	cfg.Address = a.Address
 	cfg.Instance = a.Instance
+	cfg.OnLeaving = func() { t.markLeaving(a.Run()) }
 	return cfg
 }
 
@@ -208,6 +212,25 @@
 	t.applyDrainState()
 }
 
+// markLeaving drains the target because it has stated in a response that it is leaving.
+// Announcements of the run don't cancel the drain, since they may have been sent before.
+func (t *localTarget) markLeaving(run dfuinstance.Run) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.leaving == run {
+		return
+	}
+	t.log.Info("target states that it is leaving", zap.String("instance", string(run.Instance)), zap.Int64("born", int64(run.Born)))
+	t.leaving = run
+	t.applyDrainState()
+}
+
+// isLeaving reports whether the present run of the target has announced or stated that it
+// is leaving. mu must be held.
+func (t *localTarget) isLeaving() bool {
+	return t.present && (t.current.Draining || t.leaving.Instance != "" && t.leaving == t.current.Run())
+}
+
 // service returns the service of the target, or "" if there is no target.
 func (t *localTarget) service() dfuident.Service {
 	t.mu.Lock()
@@ -294,7 +317,7 @@
 // advertises the target: the gate stops accepting requests before other nodes are
 // informed. mu must be held.
 func (t *localTarget) applyDrainState() {
-	drain := t.stopping || t.operatorDrain || (t.present && t.current.Draining)
+	drain := t.stopping || t.operatorDrain || t.isLeaving()
 	if drain != t.draining {
 		t.draining = drain
 		t.log.Info("drain changed", zap.Bool("draining", drain), zap.Bool("operator", t.operatorDrain), zap.Bool("stopping", t.stopping))
