--- a/io/process/dfunode/target.go
+++ b/io/process/dfunode/target.go
@@ -184,6 +184,10 @@
 		t.log.Info("target announced", zap.String("service", string(a.Service)), zap.String("address", string(a.Address)),
 			zap.String("instance", string(a.Instance)), zap.Int("slots", a.Slots), zap.Bool("draining", a.Draining))
 		t.present = true
+		if t.isLeaving() {
+			// The gate must not open between the two events.
+			t.applyDrainState()
+		}
 		t.gate.SetTarget(dfutarget.New(t.clientConfig(a)), event)
 		t.applyDrainState()
 		return
