--- a/core/version/dfurecord/pack.go
+++ b/core/version/dfurecord/pack.go
@@ -10,8 +10,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// minPackBytes is the size from which a value is compressed for peers. Smaller ones fit
-// into a packet anyway.
+// minPackBytes is the size from which a value is compressed for peers. Smaller ones
+// fit into one network packet.
 const minPackBytes = 1 << 10
 
 // errTooLarge is returned for a compressed value that exceeds the limit.
--- a/io/process/dfucontrol/owner.go
+++ b/io/process/dfucontrol/owner.go
@@ -94,7 +94,6 @@
 func (l *eventLoop) step(event dfuroster.Event, answer chan<- dfuroster.Packet) {
 	var reply dfuroster.Packet
 	before := l.keeper.View().Routes()
-	defer func() { l.logRoutes(before, event) }()
 	for _, action := range l.keeper.Step(l.control.deps.Clock.Now(), event) {
 		switch a := action.(type) {
 		case dfuroster.Send:
@@ -119,6 +118,7 @@
 			}
 		}
 	}
+	l.logRoutes(before, event)
 	if answer != nil {
 		answer <- reply
 	}
