--- a/core/request/dfugate/event.go
+++ b/core/request/dfugate/event.go
@@ -84,7 +84,7 @@
 	// Failed is set if the answer is an error. The run time is then not used as a
 	// sample.
 	Failed bool
-	// Limit is the limit of the rate of requests that the answer names, or zero.
+	// Limit is the rate limit that the answer advertises, or zero.
 	Limit Rate
 }
 
@@ -114,7 +114,8 @@
 	// Cold is set if the target has just started and its load has to be increased
 	// gradually.
 	Cold bool
-	// Limit is the limit that the target named when it was checked before, or zero.
+	// Limit is the rate limit that the target advertised in a health check before the
+	// announcement took effect, or zero.
 	Limit Rate
 }
 
--- a/core/request/dfugate/slowdown.go
+++ b/core/request/dfugate/slowdown.go
@@ -174,7 +174,7 @@
 	m.slowdown.requestPending = false
 	m.slowdown.lastFailureAt = 0
 	if load.Limit > 0 {
-		m.targetLimit.name(now, load.Limit)
+		m.targetLimit.update(now, load.Limit)
 	}
 	if load.Slowdown > 0 && !m.cfg.IgnoreSlowdown {
 		m.slowdown.observe(now, load.Slowdown)
--- a/core/request/dfugate/target.go
+++ b/core/request/dfugate/target.go
@@ -50,7 +50,7 @@
 	// Slowdown is the current processing time on the target's VM in percent of the
 	// normal one, or zero if the target doesn't report it.
 	Slowdown int
-	// Limit is the limit of the rate of requests that is named beside the load, or zero.
+	// Limit is the rate limit that the target advertises, or zero.
 	Limit Rate
 }
 
@@ -127,7 +127,7 @@
 		m.target.warmSlots = max(1, e.Slots/coldSlotsDivisor)
 	}
 	if e.Limit > 0 {
-		m.targetLimit.name(m.now, e.Limit)
+		m.targetLimit.update(m.now, e.Limit)
 	}
 	m.target.up = true
 	m.target.service = e.Service
--- a/core/request/dfugate/target_limit.go
+++ b/core/request/dfugate/target_limit.go
@@ -1,12 +1,11 @@
 package dfugate
 
-import (
-	"dragonflyusher/core/process/dfuclock"
-)
+import "dragonflyusher/core/process/dfuclock"
+
+// A target can advertise a rate limit in its answers. It applies to all nodes together and
+// lasts while the answers advertise it. Only the gate enforces it, since every request to
+// the target passes through the gate, whichever entry node it comes from.
 
-// A target can limit the rate of its requests: while it is in need, each answer names the
-// limit. Only the gate enforces it, since every request to the target passes through
-// the gate, whichever entry node it comes from.
 const (
 	// limitBurst is the time whose tokens may be spent at once. It evens out
 	// random arrivals and is short enough that a gate that starts again, with a new
@@ -17,18 +16,19 @@
 	minTargetRate = Rate(0.2)
 )
 
-// targetLimit is the limit that the target has named.
+// targetLimit enforces the rate limit that the target advertises.
 type targetLimit struct {
+	// bucket has a rate of zero while there is no limit.
 	bucket tokenBucket
-	// namedAt is when the target last named it.
-	namedAt dfuclock.Time
+	// advertisedAt is when the target last advertised the limit.
+	advertisedAt dfuclock.Time
 }
 
-// name records that an answer names a limit. The bucket is empty at first, since the
-// target has just had more requests than it takes.
-func (l *targetLimit) name(now dfuclock.Time, rate Rate) {
+// update records an advertised limit. The bucket is empty at first, since the target has
+// just received more requests than it accepts.
+func (l *targetLimit) update(now dfuclock.Time, rate Rate) {
 	rate = max(rate, minTargetRate)
-	l.namedAt = now
+	l.advertisedAt = now
 	if l.bucket.rate == 0 {
 		l.bucket = tokenBucket{refilledAt: now}
 	}
@@ -38,31 +38,31 @@
 	l.bucket.tokens = min(l.bucket.tokens, l.bucket.capacity)
 }
 
-// observe records the limit in an answer, zero if it names none, to a request that was
-// handed over at started. Answers can overtake each other, so the limit ends only with the
-// answer to a request that the target got after it had last named one.
+// observe records the limit in the answer to a request that was handed over at started, or
+// zero if the answer has none. Answers can overtake each other, so the limit ends only with
+// the answer to a request that was handed over after the limit was last advertised.
 func (l *targetLimit) observe(now, started dfuclock.Time, rate Rate) {
 	switch {
 	case rate > 0:
-		l.name(now, rate)
-	case l.bucket.rate > 0 && !started.Before(l.namedAt):
+		l.update(now, rate)
+	case l.bucket.rate > 0 && !started.Before(l.advertisedAt):
 		l.bucket = tokenBucket{}
 	}
 }
 
-// TargetLimit returns the limit that the target has named, or zero.
+// TargetLimit returns the rate limit that the target advertises, or zero.
 func (m *Machine) TargetLimit() Rate {
 	return m.targetLimit.bucket.rate
 }
 
 // limitWait returns how long a newly arrived request has to wait because of the target's
-// limit.
+// rate limit.
 func (m *Machine) limitWait(now dfuclock.Time, class Class) dfuclock.Duration {
 	return m.targetLimit.bucket.wait(now, m.ahead(class)+1)
 }
 
 // exceedsTargetLimit reports whether a request has to be refused because of the target's
-// limit: if it may not wait, or if it would wait too long.
+// rate limit: if it may not wait, or if it would wait too long.
 func (m *Machine) exceedsTargetLimit(now dfuclock.Time, r *request) bool {
 	wait := m.limitWait(now, r.class)
 	switch {
@@ -77,8 +77,8 @@
 	}
 }
 
-// nextTokenAt returns when the next queued request may run, or false if the target's limit
-// doesn't hold it back.
+// nextTokenAt returns when the rate limit permits the next queued request, or false if it
+// doesn't delay any.
 func (m *Machine) nextTokenAt() (dfuclock.Time, bool) {
 	if m.queue.length == 0 || len(m.running) >= m.slots() {
 		return 0, false
@@ -87,8 +87,8 @@
 	return m.now.Add(wait), wait > 0
 }
 
-// queuedWithLimit returns the number of queued requests to report to entry nodes. With a
-// limit, it is the length of the queue in which a request would wait as long.
+// queuedWithLimit returns the number of queued requests to report to entry nodes. Under a
+// rate limit, it is the length of the queue that would cause the same wait.
 func (m *Machine) queuedWithLimit() int {
 	queued := m.waiting()
 	wait := m.limitWait(m.now, ClassCount-1)
--- a/io/connection/dfutarget/client.go
+++ b/io/connection/dfutarget/client.go
@@ -50,8 +50,8 @@
 	IdleLimit int
 	IdleTime  dfuclock.Duration
 	Dialect   Dialect
-	// OnLeaving, unless nil, is called for each response in which the instance states
-	// that it is leaving, before the response is returned. It may block the request.
+	// OnLeaving, unless nil, is called before a response is returned in which the
+	// instance states that it is leaving.
 	OnLeaving func()
 }
 
@@ -137,8 +137,7 @@
 	// InService is set if the answer is a success and comes from the configured
 	// instance.
 	InService bool
-	// Limit is the limit of the rate of requests that the target names; zero if it
-	// names none.
+	// Limit is the rate limit that the target advertises, or zero.
 	Limit dfugate.Rate
 }
 
@@ -150,13 +149,18 @@
 	if err != nil {
 		return Health{}, err
 	}
-	instance := cmp.Or(result.ResponseMetadata.Instance, c.cfg.Instance)
 	return Health{
-		InService: result.Answer.Status == fasthttp.StatusOK && instance == c.cfg.Instance,
+		InService: result.Answer.Status == fasthttp.StatusOK && c.isFromInstance(result.ResponseMetadata),
 		Limit:     result.ResponseMetadata.Limit,
 	}, nil
 }
 
+// isFromInstance reports whether a response comes from the configured instance, as far as
+// it states its instance.
+func (c *Client) isFromInstance(metadata ResponseMetadata) bool {
+	return !metadata.Replaced && cmp.Or(metadata.Instance, c.cfg.Instance) == c.cfg.Instance
+}
+
 // Close closes the idle connections.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -260,7 +264,7 @@
 		cn.Close()
 		return Result{}, false, markInterrupted(errors.CombineErrors(pending.wait(), err))
 	}
-	if metadata.Leaving && !metadata.Replaced && cmp.Or(metadata.Instance, c.cfg.Instance) == c.cfg.Instance && c.cfg.OnLeaving != nil {
+	if c.cfg.OnLeaving != nil && metadata.Leaving && c.isFromInstance(metadata) {
 		c.cfg.OnLeaving()
 	}
 	reusable := skipped == 0 && !resp.ConnectionClose() && cn.r.Buffered() == 0
--- a/io/connection/dfutarget/dialect.go
+++ b/io/connection/dfutarget/dialect.go
@@ -48,8 +48,7 @@
 	IdleTime dfuclock.Duration
 	// Load is the load that the target reports, or nil.
 	Load *dfugate.TargetLoad
-	// Limit is the limit of the rate of requests that the target names; zero if it
-	// names none.
+	// Limit is the rate limit that the target advertises, or zero.
 	Limit dfugate.Rate
 }
 
--- a/io/process/dfunode/target.go
+++ b/io/process/dfunode/target.go
@@ -167,8 +167,8 @@
 	return cfg
 }
 
-// apply applies an announcement unless a later one has been received. limit is the limit
-// that the target has named in a check, or zero. mu must be held.
+// apply applies an announcement unless a later one has been received. limit is the rate
+// limit that the target has advertised in a health check, or zero. mu must be held.
 func (t *localTarget) apply(a dfuinstance.Announcement, limit dfugate.Rate) {
 	result := t.tracker.Apply(a)
 	if result == dfuinstance.Outdated {
--- a/io/request/dfuadmission/controller.go
+++ b/io/request/dfuadmission/controller.go
@@ -52,8 +52,7 @@
 	// Banned is the number of fingerprints that are refused because their requests
 	// crashed targets.
 	Banned int
-	// TargetLimit is the limit that the target has named, in requests per second; zero
-	// if there is none.
+	// TargetLimit is the rate limit that the target advertises, or zero.
 	TargetLimit dfugate.Rate
 	// Refused counts the offers that got no answer, by reason.
 	Refused map[dfuoutcome.Reason]int64
