--- a/io/connection/dfupeer/failure_test.go
+++ b/io/connection/dfupeer/failure_test.go
@@ -274,6 +274,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newFixture(t, shortTiming)
+			// A call that is canceled while its link is being opened isn't sent.
+			b.is.NoErr(b.call(b.ctx, Small, "Echo.Say", []byte("a")))
 			ctx, cancel := context.WithCancel(b.ctx)
 			time.AfterFunc(20*time.Millisecond, cancel)
 			late := make(chan error, 2)
