--- a/core/request/dfugate/event.go
+++ b/core/request/dfugate/event.go
@@ -96,6 +96,9 @@
 	// Refused is set if the target did not run the request because it was
 	// unreachable or shed the request.
 	Refused bool
+	// Limit is the rate limit that a target advertises in the answer with which it
+	// sheds the request, or zero.
+	Limit Rate
 }
 
 // TargetLoadReported reports the load that the target sent with an answer or in
--- a/core/request/dfugate/target.go
+++ b/core/request/dfugate/target.go
@@ -90,6 +90,9 @@
 	if r == nil {
 		return
 	}
+	if e.Limit > 0 {
+		m.targetLimit.update(now, e.Limit)
+	}
 	switch {
 	case e.Refused:
 		m.refuse(r, dfuoutcome.NotRun, dfuoutcome.ReasonTargetRefused)
--- a/core/request/dfugate/target_limit_test.go
+++ b/core/request/dfugate/target_limit_test.go
@@ -182,6 +182,19 @@
 	is.True(len(l.runs) > ran+100) // the answer to the one that passed names no limit
 }
 
+// A target that sheds all requests and names a limit in these answers must not go on
+// getting every request.
+func TestLimitInShedAnswers(t *testing.T) {
+	is := is.New(t)
+	l := newLimitedTarget(t, dfugate.TargetAnnounced{})
+	l.offer(dfugate.Offer{})
+	l.step(dfugate.TargetFailed{ID: l.id(1), Refused: true, Limit: 2})
+	clear(l.ends)
+	is.Equal(l.machine.TargetLimit(), dfugate.Rate(2))
+	l.offer(dfugate.Offer{NoWait: true})
+	is.Equal(l.refused[dfuoutcome.ReasonTargetLimited], 1)
+}
+
 // id returns the ID of the n-th offer.
 func (l *limitedTarget) id(n uint64) dfuident.RequestID {
 	return dfuident.RequestID{Entry: dfuident.Member{Node: dfuident.NodeID(fmt.Sprintf("entry-%d", n%6)), Incarnation: 1}, Sequence: n}
--- a/io/request/dfuadmission/target.go
+++ b/io/request/dfuadmission/target.go
@@ -101,6 +101,7 @@
 				ID: p.offer.ID, Failed: result.Answer.IsServerError(), Limit: result.ResponseMetadata.Limit,
 			}
 		case dfutarget.CompletionNotRun:
+			event = dfugate.TargetFailed{ID: p.offer.ID, Refused: true, Limit: result.ResponseMetadata.Limit}
 		case dfutarget.CompletionInterrupted:
 			crashed = instr.ctx.Err() == nil && !instr.client.Reachable()
 			event = dfugate.TargetFailed{ID: p.offer.ID, Died: crashed}
