--- a/core/request/dfugate/event.go
+++ b/core/request/dfugate/event.go
@@ -114,6 +114,8 @@
 type TargetAnnounced struct {
 	Service dfuident.Service
 	Slots   int
+	// NewRun is set if this is another run of the target than the one announced before.
+	NewRun bool
 	// Cold is set if the target has just started and its load has to be increased
 	// gradually.
 	Cold bool
--- a/core/request/dfugate/target.go
+++ b/core/request/dfugate/target.go
@@ -129,6 +129,9 @@
 	if !m.target.up && e.Cold {
 		m.target.warmSlots = max(1, e.Slots/coldSlotsDivisor)
 	}
+	if e.NewRun {
+		m.targetLimit = targetLimit{}
+	}
 	if e.Limit > 0 {
 		m.targetLimit.update(m.now, e.Limit)
 	}
--- a/core/request/dfugate/target_limit_test.go
+++ b/core/request/dfugate/target_limit_test.go
@@ -195,6 +195,19 @@
 	is.Equal(l.refused[dfuoutcome.ReasonTargetLimited], 1)
 }
 
+// A limit must not bind a later run of the target, which may be healthy, and must bind the
+// same run after its announcement has changed.
+func TestLimitEndsWithTheRun(t *testing.T) {
+	is := is.New(t)
+	l := newLimitedTarget(t, dfugate.TargetAnnounced{Limit: 0.001})
+	l.step(dfugate.TargetAnnounced{Service: "lager", Slots: 5})
+	l.offer(dfugate.Offer{NoWait: true})
+	is.Equal(l.refused[dfuoutcome.ReasonTargetLimited], 1)
+	l.step(dfugate.TargetAnnounced{Service: "lager", Slots: 5, NewRun: true})
+	l.offer(dfugate.Offer{NoWait: true})
+	is.Equal(len(l.runs), 1)
+}
+
 // id returns the ID of the n-th offer.
 func (l *limitedTarget) id(n uint64) dfuident.RequestID {
 	return dfuident.RequestID{Entry: dfuident.Member{Node: dfuident.NodeID(fmt.Sprintf("entry-%d", n%6)), Incarnation: 1}, Sequence: n}
--- a/io/process/dfunode/target.go
+++ b/io/process/dfunode/target.go
@@ -179,7 +179,9 @@
 	t.lastAnnounced = t.clock.Now()
 	old := t.current
 	t.current = a
-	event := dfugate.TargetAnnounced{Service: a.Service, Slots: a.Slots, Cold: a.ColdFor > 0 && a.Instance == "", Limit: limit}
+	event := dfugate.TargetAnnounced{
+		Service: a.Service, Slots: a.Slots, NewRun: a.Run() != old.Run(), Cold: a.ColdFor > 0 && a.Instance == "", Limit: limit,
+	}
 	if result == dfuinstance.NewRun || !t.present || old.Address != a.Address || old.Service != a.Service || old.Slots != a.Slots {
 		t.log.Info("target announced", zap.String("service", string(a.Service)), zap.String("address", string(a.Address)),
 			zap.String("instance", string(a.Instance)), zap.Int("slots", a.Slots), zap.Bool("draining", a.Draining))
