--- a/io/process/dfunode/target.go
+++ b/io/process/dfunode/target.go
@@ -94,9 +94,8 @@
 	present       bool
 	current       dfuinstance.Announcement
 	lastAnnounced dfuclock.Time
-	// leaving is the run of the target that has stated in a response that it is
-	// leaving; zero if there is none.
-	leaving       dfuinstance.Run
+	// departures holds the runs that have stated in a response that they are leaving.
+	departures    dfuinstance.Departures
 	operatorDrain bool
 	stopping      bool
 	draining      bool
@@ -223,18 +222,17 @@
 func (t *localTarget) markLeaving(run dfuinstance.Run) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.leaving == run {
+	if !t.departures.Add(run) {
 		return
 	}
 	t.log.Info("target states that it is leaving", zap.String("instance", string(run.Instance)), zap.Int64("born", int64(run.Born)))
-	t.leaving = run
 	t.applyDrainState()
 }
 
 // isLeaving reports whether the present run of the target has announced or stated that it
 // is leaving. mu must be held.
 func (t *localTarget) isLeaving() bool {
-	return t.present && (t.current.Draining || t.leaving.Instance != "" && t.leaving == t.current.Run())
+	return t.present && (t.current.Draining || t.departures.Contains(t.current.Run()))
 }
 
 // service returns the service of the target, or "" if there is no target.
--- a/io/process/dfunode/target_test.go
+++ b/io/process/dfunode/target_test.go
@@ -80,6 +80,23 @@
 	}, 0)
 }
 
+// An answer of a former run that arrives late and states that this run is leaving must not
+// bring a later run back into service that has stated the same.
+func TestLateStatementOfFormerRun(t *testing.T) {
+	is := is.New(t)
+	f := newLocalTargetFixture(t)
+	former, later := dfuinstance.Run{Instance: "a", Born: 100}, dfuinstance.Run{Instance: "b", Born: 200}
+	f.announce(former)
+	f.markLeaving(former)
+	f.announce(later)
+	f.offer("entry", 1)
+	is.Equal(f.reached.Load(), int64(1))
+	f.markLeaving(later)
+	f.markLeaving(former)
+	f.offer("entry", 2)
+	is.Equal(f.reached.Load(), int64(1))
+}
+
 // The gate must not open for a moment when it gets a target that has stated that it is
 // leaving. Load: offers without a pause.
 func TestLeavingTargetIsNeverServed(t *testing.T) {
