--- a/core/process/dfumembership/topology.go
+++ b/core/process/dfumembership/topology.go
@@ -140,6 +140,22 @@
 	return contacts
 }
 
+// RemoteContacts returns, for each other region, the members that bridges of this region
+// contact there. It returns nil if the node is not a bridge.
+func (m *Machine) RemoteContacts() [][]Contact {
+	l := m.currentTopology()
+	if !l.bridge {
+		return nil
+	}
+	contacts := make([][]Contact, len(l.remote))
+	for i := range l.remote {
+		for _, h := range l.remote[i].contactPoints() {
+			contacts[i] = append(contacts[i], h.contact())
+		}
+	}
+	return contacts
+}
+
 // ZoneRank returns the node's rank in its zone, starting from zero, and the
 // size of the zone. Roles held by a few members go to those with the lowest
 // rank.
--- a/core/version/dfurecord/exchange.go
+++ b/core/version/dfurecord/exchange.go
@@ -9,6 +9,8 @@
 
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // ExchangeConfig holds the intervals and limits of an exchange.
@@ -19,6 +21,11 @@
 	Fanout int
 	// Rounds is the number of rounds in which a node advertises a change.
 	Rounds int
+	// RemoteDelay is how long after a change the bridge of a zone advertises it to other
+	// regions, whose own watchers normally get it from the store meanwhile.
+	// RemoteRounds is the number of these adverts, which are RemoteDelay apart.
+	RemoteDelay  dfuclock.Duration
+	RemoteRounds int
 	// FetchTimeout is the time after which a key is fetched from another peer.
 	FetchTimeout dfuclock.Duration
 	// TransferBytes limits the total size of the records in one message.
@@ -58,6 +65,8 @@
 		Prefixes:      prefixes,
 		Fanout:        3,
 		Rounds:        3,
+		RemoteDelay:   300 * dfuclock.Millisecond,
+		RemoteRounds:  2,
 		FetchTimeout:  300 * dfuclock.Millisecond,
 		TransferBytes: 1 << 20,
 		SettlePeriod:  500 * dfuclock.Millisecond,
@@ -104,6 +113,12 @@
 	peers PeersChanged
 	// adverts holds the remaining advert rounds of each changed key.
 	adverts map[string]int
+	// remoteAdverts holds the changes that are still to be advertised to other regions.
+	remoteAdverts map[string]remoteAdvert
+	// remoteTurn is the index of the peer that received the last of these adverts,
+	// modulo the number of peers of its region. Each round goes to another peer, since
+	// one may be paused.
+	remoteTurn int
 	// pendingFetches holds the keys requested from peers and not yet received.
 	pendingFetches map[string]pendingFetch
 	// confirmedTimes holds, by prefix, the latest time at which the copy is
@@ -122,6 +137,16 @@
 	changed                []string
 }
 
+// maxRemoteTurn limits the initial remoteTurn. The bridges of a region begin with different
+// peers.
+const maxRemoteTurn = 1 << 10
+
+// remoteAdvert is the state of a change that a bridge advertises to other regions.
+type remoteAdvert struct {
+	at         dfuclock.Time
+	roundsLeft int
+}
+
 // pendingFetch is the state of a key that was requested from a peer.
 type pendingFetch struct {
 	deadline dfuclock.Time
@@ -138,6 +163,8 @@
 		rng:            rng,
 		self:           self,
 		adverts:        make(map[string]int),
+		remoteAdverts:  make(map[string]remoteAdvert),
+		remoteTurn:     int(xxhash.Sum64String(string(self.Node)) % maxRemoteTurn),
 		pendingFetches: make(map[string]pendingFetch),
 		confirmedTimes: make(map[string]dfuclock.Time),
 	}
@@ -219,6 +246,7 @@
 		x.startedAt = now
 	}
 	x.advertise()
+	x.advertiseToRegions(now)
 	x.compareUntilSynced(now)
 	x.retryFetches(now)
 	x.readIfTooOld(now)
@@ -296,11 +324,13 @@
 	if e.Listed {
 		for _, r := range x.set.MergeList(e.Prefix, e.Records, e.Revision) {
 			x.markChanged(r.Key, true)
+			x.scheduleRemoteAdvert(now, r.Key)
 		}
 	} else {
 		for _, r := range e.Records {
 			if x.set.MergeFromStore(r, e.Revision).Changed() {
 				x.markChanged(r.Key, true)
+				x.scheduleRemoteAdvert(now, r.Key)
 			}
 		}
 	}
@@ -452,6 +482,9 @@
 		result := x.set.MergeFromPeer(r)
 		if result.Changed() {
 			x.markChanged(r.Key, x.synced)
+			if msg.From.Region == x.self.Region {
+				x.scheduleRemoteAdvert(now, r.Key)
+			}
 		} else {
 			x.counts.RedundantBytes += size
 		}
@@ -498,6 +531,39 @@
 	}
 }
 
+// scheduleRemoteAdvert schedules the adverts of a changed key to other regions if the node
+// is a bridge. None of the watchers of a region may be able to reach the store.
+func (x *Exchange) scheduleRemoteAdvert(now dfuclock.Time, key string) {
+	if x.synced && len(x.peers.RemotePeers) > 0 {
+		x.remoteAdverts[key] = remoteAdvert{at: now.Add(x.cfg.RemoteDelay), roundsLeft: x.cfg.RemoteRounds}
+	}
+}
+
+// advertiseToRegions sends the adverts that are due to one peer of each other region.
+func (x *Exchange) advertiseToRegions(now dfuclock.Time) {
+	var summaries []Summary
+	for key, a := range x.remoteAdverts {
+		if now.Before(a.at) {
+			continue
+		}
+		summaries = append(summaries, x.set.Revisions(key))
+		a.at, a.roundsLeft = now.Add(x.cfg.RemoteDelay), a.roundsLeft-1
+		x.remoteAdverts[key] = a
+		if a.roundsLeft <= 0 {
+			delete(x.remoteAdverts, key)
+		}
+	}
+	if len(summaries) == 0 {
+		return
+	}
+	sortSummaries(summaries)
+	x.remoteTurn++
+	for _, peers := range x.peers.RemotePeers {
+		to := peers[x.remoteTurn%len(peers)]
+		x.emit(Send{To: to, Message: Message{Kind: Advert, From: x.self, Summaries: summaries}})
+	}
+}
+
 func (x *Exchange) pickGossipPeers(n int) []Peer {
 	if len(x.peers.GossipPeers) <= n {
 		return x.peers.GossipPeers
--- a/core/version/dfurecord/message.go
+++ b/core/version/dfurecord/message.go
@@ -90,6 +90,9 @@
 	// GossipPeers are the peers that the node sends messages to on its own
 	// initiative.
 	GossipPeers []Peer
+	// RemotePeers are, for each other region, the peers that the node informs of
+	// changes. It is empty unless the node is the bridge of its zone.
+	RemotePeers [][]Peer
 	// ZoneSize is the number of nodes in the node's zone.
 	ZoneSize int
 	// Watcher is set if the node watches the store on behalf of its zone.
--- a/core/version/dfuroster/keeper.go
+++ b/core/version/dfuroster/keeper.go
@@ -133,6 +133,13 @@
 	for _, c := range k.membership.GossipPeers() {
 		e.GossipPeers = append(e.GossipPeers, peerOf(c))
 	}
+	for _, contacts := range k.membership.RemoteContacts() {
+		var peers []dfurecord.Peer
+		for _, c := range contacts {
+			peers = append(peers, peerOf(c))
+		}
+		e.RemotePeers = append(e.RemotePeers, peers)
+	}
 	k.peersStale = !joined
 	k.stepExchange(e, nil)
 }
