--- a/core/version/dfuroster/region_test.go
+++ b/core/version/dfuroster/region_test.go
@@ -13,48 +13,70 @@
 	"github.com/matryer/is"
 )
 
+const (
+	watcherTestChanges = 10
+	watcherTestPeriod  = 1300 * dfuclock.Millisecond
+	// watcherTestBound is the smallest time among the deployments in which a change has
+	// to be in force.
+	watcherTestBound = 2000 * dfuclock.Millisecond
+)
+
+// newFleetWithoutWatches returns a fleet of 20 nodes in two regions. The store doesn't
+// answer the watches of those watchers for which lost returns true.
+func newFleetWithoutWatches(t *testing.T, lost func(dfuident.Place) bool) *dfufleet.Fleet {
+	t.Helper()
+	cfg := dfufleet.DefaultConfig()
+	cfg.LossPerMille = 20
+	f := dfufleet.New(cfg)
+	f.SetStoreRegion("region-0")
+	for i := range 20 {
+		f.Add(nodeID(i), dfuident.Place{
+			Region: dfuident.Region(fmt.Sprintf("region-%d", i%2)),
+			Zone:   dfuident.Zone(fmt.Sprintf("zone-%d", i%4)),
+		}, dfumembership.Target{Service: "lager", Slots: 12})
+	}
+	f.CompleteMembership()
+	f.Run(3 * dfuclock.Second)
+	watchers := 0
+	for _, n := range f.Nodes() {
+		if lost(n.Place) && n.Keeper.Exchange().Watcher() {
+			f.SetWatchUnanswered(n.Member.Node, true)
+			watchers++
+		}
+	}
+	is.New(t).True(watchers > 0)
+	return f
+}
+
+// checkChangesInForce checks that each change of a series is in every view in time.
+func checkChangesInForce(t *testing.T, f *dfufleet.Fleet) {
+	t.Helper()
+	for i := range watcherTestChanges {
+		service := dfuident.Service(fmt.Sprintf("service-%d", i))
+		f.Put("catalogue/"+string(service), []byte(`{"change_id":"c","entry":{"service":"`+string(service)+`","owner":"stock"}}`))
+		inForce := inAllViews(f, func(v *dfuroster.View) bool {
+			_, _, ok := v.Entry(service)
+			return ok
+		})
+		if !f.RunUntil(watcherTestBound, inForce) {
+			t.Fatalf("change %d is not in force everywhere after %v", i, watcherTestBound)
+		}
+		f.Run(watcherTestPeriod)
+	}
+}
+
 // Changes must come into force in time in a region none of whose watchers gets answers from
-// the store, while other nodes do. Load: ten changes, one each 1.3 s, and 20 nodes in two
-// regions.
+// the store, while other nodes do. Load: ten changes in quick succession.
 func TestRegionWithoutStoreHearsInTime(t *testing.T) {
-	const (
-		changes = 10
-		period  = 1300 * dfuclock.Millisecond
-		bound   = 2000 * dfuclock.Millisecond
-	)
-	for _, cut := range []dfuident.Region{"region-0", "region-1"} {
-		t.Run(string(cut), func(t *testing.T) {
-			is := is.New(t)
-			cfg := dfufleet.DefaultConfig()
-			cfg.LossPerMille = 20
-			f := dfufleet.New(cfg)
-			f.SetStoreRegion("region-0")
-			for i := range 20 {
-				f.Add(nodeID(i), dfuident.Place{
-					Region: dfuident.Region(fmt.Sprintf("region-%d", i%2)),
-					Zone:   dfuident.Zone(fmt.Sprintf("zone-%d", i%4)),
-				}, dfumembership.Target{Service: "lager", Slots: 12})
-			}
-			f.CompleteMembership()
-			f.Run(3 * dfuclock.Second)
-			watchers := 0
-			for _, n := range f.Nodes() {
-				if n.Place.Region == cut && n.Keeper.Exchange().Watcher() {
-					f.SetWatchUnanswered(n.Member.Node, true)
-					watchers++
-				}
-			}
-			is.True(watchers > 0)
-			for i := range changes {
-				service := dfuident.Service(fmt.Sprintf("service-%d", i))
-				f.Put("catalogue/"+string(service), []byte(`{"change_id":"c","entry":{"service":"`+string(service)+`","owner":"stock"}}`))
-				inForce := inAllViews(f, func(v *dfuroster.View) bool {
-					_, _, ok := v.Entry(service)
-					return ok
-				})
-				is.True(f.RunUntil(bound, inForce)) // every view has the new entry
-				f.Run(period)
-			}
+	for _, region := range []dfuident.Region{"region-0", "region-1"} {
+		t.Run(string(region), func(t *testing.T) {
+			checkChangesInForce(t, newFleetWithoutWatches(t, func(p dfuident.Place) bool { return p.Region == region }))
 		})
 	}
 }
+
+// Changes must come into force in time although no watcher of any region gets answers
+// from the store, while other nodes would. Load: ten changes in quick succession.
+func TestFleetWithoutWatchersHearsInTime(t *testing.T) {
+	checkChangesInForce(t, newFleetWithoutWatches(t, func(dfuident.Place) bool { return true }))
+}
