--- a/core/process/dfumembership/machine.go
+++ b/core/process/dfumembership/machine.go
@@ -181,6 +181,8 @@
 		m.receive(now, e.Message)
 	case Announced:
 		m.announce(now, e)
+	case StoreChecked:
+		m.announceStore(now, e.Lost)
 	case SeedsListed:
 		m.setSeeds(e.Seeds)
 	}
@@ -272,6 +274,18 @@
 	m.advanceVersion(now, u.Version+1)
 }
 
+// announceStore announces whether the node has lost the store.
+func (m *Machine) announceStore(now dfuclock.Time, lost bool) {
+	u := &m.self.update
+	if u.State == Left || u.Details.StoreLost == lost {
+		return
+	}
+	details := *u.Details
+	details.StoreLost = lost
+	u.Details = &details
+	m.advanceVersion(now, u.Version+1)
+}
+
 // advanceVersion sets the version of the node's own update and sends it to
 // every zone immediately.
 func (m *Machine) advanceVersion(now dfuclock.Time, version uint64) {
--- a/core/process/dfumembership/message.go
+++ b/core/process/dfumembership/message.go
@@ -42,6 +42,8 @@
 	Peer   dfuident.Address `json:"peer"`
 	HTTP   dfuident.Address `json:"http"`
 	Target Target           `json:"target"`
+	// StoreLost is set while the member, a watcher of the store, can't reach it.
+	StoreLost bool `json:"store_lost,omitempty"`
 }
 
 // Update is one version of a member's state. Only the member itself increments
@@ -136,6 +138,9 @@
 	Left bool
 }
 
+// StoreChecked reports whether the node's latest calls to the store failed.
+type StoreChecked struct{ Lost bool }
+
 // Seed is a member listed on a zone page.
 type Seed struct {
 	Contact Contact
@@ -145,10 +150,11 @@
 // SeedsListed holds the members listed on the zone pages.
 type SeedsListed struct{ Seeds []Seed }
 
-func (Tick) event()        {}
-func (Received) event()    {}
-func (Announced) event()   {}
-func (SeedsListed) event() {}
+func (Tick) event()         {}
+func (Received) event()     {}
+func (Announced) event()    {}
+func (SeedsListed) event()  {}
+func (StoreChecked) event() {}
 
 // Action is an output of the Machine.
 //
--- a/core/process/dfumembership/topology.go
+++ b/core/process/dfumembership/topology.go
@@ -28,9 +28,10 @@
 	bridges []*member
 	// bridge is set if the node itself is a bridge.
 	bridge bool
-	// rank is the number of members of the node's zone with a higher score.
-	rank     int
-	zoneSize int
+	// watchRank is the node's position among the members of its zone that may watch the
+	// store, or zoneSize if the node is not among them.
+	watchRank int
+	zoneSize  int
 }
 
 type remoteRegion struct {
@@ -60,6 +61,7 @@
 	l := topology{}
 	best := make(map[dfuident.Place]*member)
 	var places []dfuident.Place
+	var candidates []*member
 	byPlace := make(map[dfuident.Place][]*member)
 	for _, h := range m.order {
 		place := h.update.Details.Place
@@ -78,8 +80,8 @@
 		}
 		if place == m.self.update.Details.Place {
 			l.zoneSize++
-			if h.update.State == Alive && outranks(h, m.self) {
-				l.rank++
+			if h.update.State == Alive || h == m.self {
+				candidates = append(candidates, h)
 			}
 		}
 	}
@@ -88,6 +90,7 @@
 		l.addZone(m, place.Region, byPlace[place], best[place])
 	}
 	l.chooseGossipPeers(m.self)
+	l.rankWatchers(m.self, candidates)
 	m.topology = l
 	return &m.topology
 }
@@ -156,12 +159,43 @@
 	return contacts
 }
 
-// ZoneRank returns the node's rank in its zone, starting from zero, and the
-// size of the zone. Roles held by a few members go to those with the lowest
-// rank.
-func (m *Machine) ZoneRank() (rank, size int) {
+// maxWatchCandidates is the number of members of a zone that may watch the store. It bounds
+// the calls of a zone to a store that is down for all.
+const maxWatchCandidates = 4
+
+// rankWatchers ranks the first candidates by score. Those that have lost the store come
+// last.
+func (l *topology) rankWatchers(self *member, candidates []*member) {
+	slices.SortFunc(candidates, func(a, b *member) int { return compareScores(b, a) })
+	candidates = candidates[:min(len(candidates), maxWatchCandidates)]
+	slices.SortStableFunc(candidates, func(a, b *member) int {
+		return compareBools(a.update.Details.StoreLost, b.update.Details.StoreLost)
+	})
+	l.watchRank = slices.Index(candidates, self)
+	if l.watchRank < 0 {
+		l.watchRank = l.zoneSize
+	}
+}
+
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// WatchRank returns the node's rank, starting from zero, among the members of its zone that
+// may watch the store on behalf of the others, and the size of the zone. Members that have
+// lost the store rank behind the others. The rank of a node that may not watch is at least
+// the size of the zone.
+func (m *Machine) WatchRank() (rank, size int) {
 	l := m.currentTopology()
-	return l.rank, l.zoneSize
+	return l.watchRank, l.zoneSize
 }
 
 // Joined reports whether the node has the state of the cluster: it has
--- a/core/version/dfuroster/keeper.go
+++ b/core/version/dfuroster/keeper.go
@@ -89,6 +89,9 @@
 		k.stepMembership(dfumembership.Announced{Target: e.Target, Left: e.Left}, false)
 	case SeedsListed:
 		k.stepMembership(dfumembership.SeedsListed{Seeds: e.Seeds}, false)
+	case StoreChecked:
+		k.stepMembership(dfumembership.StoreChecked{Lost: e.Lost}, false)
+		k.peersStale = true
 	case StoreResponse:
 		k.stepExchange(e.Answer, nil)
 	}
@@ -127,7 +130,7 @@
 // becomes a watcher only after it has joined, since it does not know the other
 // nodes of its zone before.
 func (k *Keeper) updatePeers() {
-	rank, size := k.membership.ZoneRank()
+	rank, size := k.membership.WatchRank()
 	joined := k.membership.Joined()
 	e := dfurecord.PeersChanged{ZoneSize: size, Watcher: joined && rank < watchersPerZone}
 	for _, c := range k.membership.GossipPeers() {
--- a/core/version/dfuroster/message.go
+++ b/core/version/dfuroster/message.go
@@ -44,11 +44,16 @@
 // StoreResponse delivers what the store returned for a prefix.
 type StoreResponse struct{ Answer dfurecord.StoreResponse }
 
+// StoreChecked reports whether the node's latest calls to the store failed. A watcher that
+// has lost the store hands its role over.
+type StoreChecked struct{ Lost bool }
+
 func (Tick) event()          {}
 func (Received) event()      {}
 func (Announced) event()     {}
 func (SeedsListed) event()   {}
 func (StoreResponse) event() {}
+func (StoreChecked) event()  {}
 
 // Action is an output of Keeper.Step that the caller of Step carries out.
 //
--- a/core/version/dfuroster/region_test.go
+++ b/core/version/dfuroster/region_test.go
@@ -21,9 +21,9 @@
 	watcherTestBound = 2000 * dfuclock.Millisecond
 )
 
-// newFleetWithoutWatches returns a fleet of 20 nodes in two regions. The store doesn't
-// answer the watches of those watchers for which lost returns true.
-func newFleetWithoutWatches(t *testing.T, lost func(dfuident.Place) bool) *dfufleet.Fleet {
+// newFleetWithoutWatches returns a fleet of 20 nodes in two regions, after fail has been
+// called for those watchers for which lost returns true.
+func newFleetWithoutWatches(t *testing.T, lost func(dfuident.Place) bool, fail func(*dfufleet.Fleet, dfuident.NodeID)) *dfufleet.Fleet {
 	t.Helper()
 	cfg := dfufleet.DefaultConfig()
 	cfg.LossPerMille = 20
@@ -40,7 +40,7 @@
 	watchers := 0
 	for _, n := range f.Nodes() {
 		if lost(n.Place) && n.Keeper.Exchange().Watcher() {
-			f.SetWatchUnanswered(n.Member.Node, true)
+			fail(f, n.Member.Node)
 			watchers++
 		}
 	}
@@ -70,13 +70,25 @@
 func TestRegionWithoutStoreHearsInTime(t *testing.T) {
 	for _, region := range []dfuident.Region{"region-0", "region-1"} {
 		t.Run(string(region), func(t *testing.T) {
-			checkChangesInForce(t, newFleetWithoutWatches(t, func(p dfuident.Place) bool { return p.Region == region }))
+			checkChangesInForce(t, newFleetWithoutWatches(t, func(p dfuident.Place) bool { return p.Region == region }, silence))
 		})
 	}
 }
 
+func silence(f *dfufleet.Fleet, id dfuident.NodeID) { f.SetWatchUnanswered(id, true) }
+
+func refuse(f *dfufleet.Fleet, id dfuident.NodeID) { f.SetStoreRefused(id, true) }
+
+func everywhere(dfuident.Place) bool { return true }
+
+// Changes must come into force in time although the store refuses all watchers of all
+// regions, while it would answer other nodes. Load: ten changes in quick succession.
+func TestRefusedWatchersAreReplaced(t *testing.T) {
+	checkChangesInForce(t, newFleetWithoutWatches(t, everywhere, refuse))
+}
+
 // Changes must come into force in time although no watcher of any region gets answers
 // from the store, while other nodes would. Load: ten changes in quick succession.
 func TestFleetWithoutWatchersHearsInTime(t *testing.T) {
-	checkChangesInForce(t, newFleetWithoutWatches(t, func(dfuident.Place) bool { return true }))
+	checkChangesInForce(t, newFleetWithoutWatches(t, everywhere, silence))
 }
--- a/io/process/dfucontrol/controller.go
+++ b/io/process/dfucontrol/controller.go
@@ -33,10 +33,12 @@
 	readRequests chan struct{}
 	announcement atomic.Pointer[Announcement]
 
-	member      atomic.Pointer[dfuident.Member]
-	view        atomic.Pointer[dfuroster.View]
-	status      atomic.Pointer[Status]
-	storeError  atomic.Pointer[string]
+	member     atomic.Pointer[dfuident.Member]
+	view       atomic.Pointer[dfuroster.View]
+	status     atomic.Pointer[Status]
+	storeError atomic.Pointer[string]
+	// storeLost is set while the node, as a watcher, can't reach the store.
+	storeLost   atomic.Bool
 	bridge      atomic.Bool
 	watcher     atomic.Bool
 	synced      atomic.Bool
--- a/io/process/dfucontrol/controller_test.go
+++ b/io/process/dfucontrol/controller_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -159,6 +161,26 @@
 	return nodes, s.writes
 }
 
+// refusableStore is a node's access to the store, which can be refused.
+type refusableStore struct {
+	*fakeStore
+	refused atomic.Bool
+}
+
+func (s *refusableStore) List(ctx context.Context, prefix string) ([]dfustore.Record, dfuident.Revision, error) {
+	if s.refused.Load() {
+		return nil, 0, dfustore.ErrUnavailable
+	}
+	return s.fakeStore.List(ctx, prefix)
+}
+
+func (s *refusableStore) Watch(ctx context.Context, prefix string, after dfuident.Revision, wait dfuclock.Duration) ([]dfustore.Record, dfuident.Revision, error) {
+	if s.refused.Load() {
+		return nil, 0, dfustore.ErrUnavailable
+	}
+	return s.fakeStore.Watch(ctx, prefix, after, wait)
+}
+
 // network delivers calls between controllers in one process.
 type network struct {
 	mu    sync.Mutex
@@ -179,7 +201,9 @@
 type fleet struct {
 	t     *testing.T
 	store *fakeStore
-	net   *network
+	// access holds the access of each node to the store.
+	access map[dfuident.NodeID]*refusableStore
+	net    *network
 	// joinPeriod overrides Config.Membership.JoinPeriod if it is positive.
 	joinPeriod dfuclock.Duration
 	// watchWait overrides Config.WatchWait and the short Config.PagePeriod of the tests
@@ -188,7 +212,7 @@
 }
 
 func newFleet(t *testing.T) *fleet {
-	return &fleet{t: t, store: newFakeStore(), net: &network{nodes: make(map[dfuident.Address]*dfucontrol.Controller)}}
+	return &fleet{t: t, store: newFakeStore(), access: make(map[dfuident.NodeID]*refusableStore), net: &network{nodes: make(map[dfuident.Address]*dfucontrol.Controller)}}
 }
 
 // start runs the controller of node vm-i and returns it with a function that
@@ -215,8 +239,10 @@
 	cfg.Node = dfuident.NodeID(fmt.Sprintf("vm-%d", i))
 	cfg.Place = dfuident.Place{Region: "sued", Zone: dfuident.Zone(fmt.Sprintf("sued-%c", 'a'+i%2))}
 	cfg.Peer = dfuident.Address(fmt.Sprintf("127.0.0.1:%d", 7000+i))
+	access := &refusableStore{fakeStore: f.store}
+	f.access[cfg.Node] = access
 	c := dfucontrol.New(cfg, dfucontrol.Deps{
-		Store: f.store, PeerClient: f.net, Clock: dfuclock.New(), Wall: wall,
+		Store: access, PeerClient: f.net, Clock: dfuclock.New(), Wall: wall,
 		Rand: rand.New(rand.NewPCG(1, uint64(i))), Log: zap.NewNop(),
 	})
 	c.Announce(dfucontrol.Announcement{Target: dfumembership.Target{Service: "lager", Slots: 12}})
@@ -309,6 +335,47 @@
 	is.True(ok) // the last valid entry stays in force
 }
 
+// A watcher that the store refuses must not keep the role, since changes would be late at
+// all nodes of its zone. It takes the role back when it reaches the store again.
+func TestRefusedWatcherHandsOver(t *testing.T) {
+	f := newFleet(t)
+	var controllers []*dfucontrol.Controller
+	for i := range 8 {
+		c, _ := f.start(i)
+		controllers = append(controllers, c)
+	}
+	f.wait("every node sees eight targets", allAlive(controllers, 8))
+	watchers := func() map[dfuident.NodeID]bool {
+		nodes := map[dfuident.NodeID]bool{}
+		for _, c := range controllers {
+			if c.Status().Watcher {
+				nodes[c.Member().Node] = true
+			}
+		}
+		return nodes
+	}
+	f.wait("two nodes of each zone watch", func() bool { return len(watchers()) == 4 })
+	first := watchers()
+	for node := range first {
+		f.access[node].refused.Store(true)
+	}
+	f.wait("the other nodes watch", func() bool {
+		now := watchers()
+		return len(now) == 4 && !slices.ContainsFunc(slices.Collect(maps.Keys(now)), func(n dfuident.NodeID) bool { return first[n] })
+	})
+	f.store.put("catalogue/lager", entryValue(t, "one"))
+	f.wait("the entry is in force everywhere", func() bool {
+		return !slices.ContainsFunc(controllers, func(c *dfucontrol.Controller) bool {
+			_, _, ok := c.View().Entry("lager")
+			return !ok
+		})
+	})
+	for node := range first {
+		f.access[node].refused.Store(false)
+	}
+	f.wait("the first nodes watch again", func() bool { return maps.Equal(watchers(), first) })
+}
+
 func TestRestartedNodeHasGreaterIncarnation(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t)
--- a/io/process/dfucontrol/owner.go
+++ b/io/process/dfucontrol/owner.go
@@ -28,6 +28,8 @@
 	// set before.
 	nextStatusAt dfuclock.Time
 	statusStale  bool
+	// storeLost is the state that the keeper was last informed of.
+	storeLost bool
 }
 
 func newEventLoop(c *Controller, member dfuident.Member) *eventLoop {
@@ -76,6 +78,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
+			l.checkStore()
 			l.step(dfuroster.Tick{}, nil)
 		case <-l.control.announcementChanged:
 			if a := l.control.announcement.Load(); a != nil {
@@ -88,6 +91,15 @@
 	}
 }
 
+// checkStore passes it to the keeper if the node has lost the store or reaches it again.
+func (l *eventLoop) checkStore() {
+	if lost := l.control.storeLost.Load(); lost != l.storeLost {
+		l.storeLost = lost
+		l.control.deps.Log.Info("store reachability changed", zap.Bool("lost", lost))
+		l.step(dfuroster.StoreChecked{Lost: lost}, nil)
+	}
+}
+
 // step passes one event to the keeper and executes the resulting actions. If
 // answer isn't nil, it always receives one packet, which may be empty, since a
 // call of a peer waits for it.
--- a/io/process/dfucontrol/watch.go
+++ b/io/process/dfucontrol/watch.go
@@ -17,30 +17,51 @@
 // behind.
 var errQueueFull = errors.New("the control event queue is full")
 
+// prefixWatch is the state of the watch of one prefix.
+type prefixWatch struct {
+	prefix string
+	retry  backoff
+	// failures is the number of failures since the last full list.
+	failures int
+	// nextCheckAt is when a node that has lost the store tries again.
+	nextCheckAt dfuclock.Time
+}
+
+// failuresUntilLost is the number of consecutive failures of a watch after which the store
+// counts as lost. A watch that waits may be cut once.
+const failuresUntilLost = 2
+
 // watch watches the records under a prefix while the node is a watcher. After a
-// failure it starts again with a full list. With ReadAtStart it begins when the nodes
-// that start together have met, since each considers itself a watcher before that.
+// failure it starts again with a full list. A node that has lost the store, and with it
+// the role of a watcher, continues to try at long intervals. With ReadAtStart it begins when
+// the nodes that start together have met, since each considers itself a watcher before that.
 func (c *Controller) watch(ctx context.Context, prefix string) error {
-	retry := c.newBackoff()
 	start := c.deps.Clock.Now()
 	if c.cfg.ReadAtStart {
 		start = start.Add(startReadTimeout)
 	}
+	w := prefixWatch{prefix: prefix, retry: c.newBackoff(), nextCheckAt: start}
 	for {
-		if !c.watcher.Load() || c.deps.Clock.Now().Before(start) {
+		now := c.deps.Clock.Now()
+		isCheckDue := c.storeLost.Load() && !now.Before(w.nextCheckAt)
+		if !c.watcher.Load() && !isCheckDue || now.Before(start) {
 			if err := sleep(ctx, c.cfg.Membership.TickPeriod); err != nil {
 				return err
 			}
 			continue
 		}
-		err := c.follow(ctx, prefix, &retry)
+		err := c.follow(ctx, &w)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
 		if err != nil && !errors.Is(err, dfustore.ErrCompacted) {
 			c.recordStoreFailure("watch "+prefix, err)
+			if w.failures++; w.failures >= failuresUntilLost {
+				c.storeLost.Store(true)
+				w.nextCheckAt = c.deps.Clock.Now().Add(c.cfg.RetryMax)
+			}
 		}
-		if err := retry.sleep(ctx); err != nil {
+		if err := w.retry.sleep(ctx); err != nil {
 			return err
 		}
 	}
@@ -53,20 +74,22 @@
 
 // follow lists a prefix once and then watches it until the next full list is due
 // or the node is no longer a watcher.
-func (c *Controller) follow(ctx context.Context, prefix string, retry *backoff) error {
-	revision, err := c.list(ctx, prefix)
+func (c *Controller) follow(ctx context.Context, w *prefixWatch) error {
+	revision, err := c.list(ctx, w.prefix)
 	if err != nil {
 		return err
 	}
-	retry.reset()
+	c.storeLost.Store(false)
+	w.failures = 0
+	w.retry.reset()
 	relist := c.deps.Clock.Now().Add(c.cfg.ListPeriod + c.jitter(c.cfg.ListPeriod))
 	for c.watcher.Load() && c.deps.Clock.Now().Before(relist) {
-		records, next, err := c.deps.Store.Watch(ctx, prefix, revision, c.cfg.WatchWait)
+		records, next, err := c.deps.Store.Watch(ctx, w.prefix, revision, c.cfg.WatchWait)
 		if err != nil {
 			return err
 		}
 		revision = max(revision, next)
-		answer := dfurecord.StoreResponse{Prefix: prefix, Records: toRecords(records), Revision: next}
+		answer := dfurecord.StoreResponse{Prefix: w.prefix, Records: toRecords(records), Revision: next}
 		if err := c.deliver(answer); err != nil {
 			return err
 		}
--- a/measure/dfufleet/store.go
+++ b/measure/dfufleet/store.go
@@ -15,6 +15,12 @@
 // watchTimeout is how long the store holds a watch open if nothing changes.
 const watchTimeout = 2 * dfuclock.Second
 
+// failuresUntilLost and lostCheckPeriod are those of the daemon.
+const (
+	failuresUntilLost = 2
+	lostCheckPeriod   = 5 * dfuclock.Second
+)
+
 // store holds records with their revisions. It is located in one region.
 type store struct {
 	region   dfuident.Region
@@ -38,6 +44,13 @@
 	answeredAt dfuclock.Time
 	// unanswered reports whether the store does not answer the node's watches.
 	unanswered bool
+	// refused reports whether the store refuses the node's calls.
+	refused bool
+	// failures counts the failed calls since the last list, and lost is set from the
+	// second on. The node then tries again at nextCheckAt.
+	failures    int
+	lost        bool
+	nextCheckAt dfuclock.Time
 }
 
 func newStore() store {
@@ -96,6 +109,11 @@
 	f.byID[id].watch.unanswered = unanswered
 }
 
+// SetStoreRefused sets whether the store refuses a node's calls.
+func (f *Fleet) SetStoreRefused(id dfuident.NodeID, refused bool) {
+	f.byID[id].watch.refused = refused
+}
+
 func (s *store) write(r dfurecord.Record) dfuident.Revision {
 	s.revision++
 	r.Revision = s.revision
@@ -133,11 +151,21 @@
 // watchStore mirrors how the daemon watches the store. It is called on each tick.
 func (f *Fleet) watchStore(n *Node) {
 	w := &n.watch
-	if !n.Keeper.Exchange().Watcher() || !f.storeReachable(n) {
+	if !n.Keeper.Exchange().Watcher() && (!w.lost || f.now.Before(w.nextCheckAt)) {
 		w.watching = false
 		return
 	}
+	if w.refused || !f.storeReachable(n) {
+		w.watching = false
+		if w.failures++; w.failures >= failuresUntilLost {
+			w.nextCheckAt = f.now.Add(lostCheckPeriod)
+			f.setStoreLost(n, true)
+		}
+		return
+	}
 	if !w.watching {
+		w.failures = 0
+		f.setStoreLost(n, false)
 		w.watching = true
 		w.after = f.store.revision
 		w.answeredAt = f.now
@@ -162,6 +190,13 @@
 	w.answeredAt = f.now
 }
 
+func (f *Fleet) setStoreLost(n *Node, lost bool) {
+	if n.watch.lost != lost {
+		n.watch.lost = lost
+		f.step(n, dfuroster.StoreChecked{Lost: lost})
+	}
+}
+
 func (f *Fleet) listStore(n *Node) {
 	for _, prefix := range f.prefixes() {
 		f.store.calls++
