--- a/core/version/dfuroster/fanout_test.go
+++ b/core/version/dfuroster/fanout_test.go
@@ -25,17 +25,23 @@
 	cfg := dfufleet.DefaultConfig()
 	cfg.LossPerMille = 20
 	f := dfufleet.New(cfg)
+	addNodes(f, fleetSize, 6)
+	return f
+}
+
+// addNodes adds nodes in two regions that all know each other. The store is in the first
+// region.
+func addNodes(f *dfufleet.Fleet, nodes, zones int) {
 	f.SetStoreRegion("region-0")
-	for i := range fleetSize {
+	for i := range nodes {
 		place := dfuident.Place{
 			Region: dfuident.Region(fmt.Sprintf("region-%d", i%2)),
-			Zone:   dfuident.Zone(fmt.Sprintf("zone-%d", i%6)),
+			Zone:   dfuident.Zone(fmt.Sprintf("zone-%d", i%zones)),
 		}
 		f.Add(nodeID(i), place, dfumembership.Target{Service: "lager", Slots: 12})
 	}
 	f.CompleteMembership()
 	f.Run(3 * dfuclock.Second)
-	return f
 }
 
 func nodeID(i int) dfuident.NodeID {
--- a/core/version/dfuroster/large_routes_test.go
+++ b/core/version/dfuroster/large_routes_test.go
@@ -5,8 +5,6 @@
 	"testing"
 
 	"dragonflyusher/core/process/dfuclock"
-	"dragonflyusher/core/process/dfuident"
-	"dragonflyusher/core/process/dfumembership"
 	"dragonflyusher/core/version/dfuroster"
 	"dragonflyusher/core/version/dfuroute"
 	"dragonflyusher/measure/dfufleet"
@@ -52,15 +50,7 @@
 	cfg.LinkRate = 360
 	cfg.CallTimeout = 900 * dfuclock.Millisecond
 	f := dfufleet.New(cfg)
-	f.SetStoreRegion("region-0")
-	for i := range 40 {
-		f.Add(nodeID(i), dfuident.Place{
-			Region: dfuident.Region(fmt.Sprintf("region-%d", i%2)),
-			Zone:   dfuident.Zone(fmt.Sprintf("zone-%d", i%4)),
-		}, dfumembership.Target{Service: "lager", Slots: 12})
-	}
-	f.CompleteMembership()
-	f.Run(3 * dfuclock.Second)
+	addNodes(f, 40, 4)
 
 	const (
 		changes = 6
--- a/core/version/dfuroster/region_test.go
+++ b/core/version/dfuroster/region_test.go
@@ -6,7 +6,6 @@
 
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
-	"dragonflyusher/core/process/dfumembership"
 	"dragonflyusher/core/version/dfuroster"
 	"dragonflyusher/measure/dfufleet"
 
@@ -28,15 +27,7 @@
 	cfg := dfufleet.DefaultConfig()
 	cfg.LossPerMille = 20
 	f := dfufleet.New(cfg)
-	f.SetStoreRegion("region-0")
-	for i := range 20 {
-		f.Add(nodeID(i), dfuident.Place{
-			Region: dfuident.Region(fmt.Sprintf("region-%d", i%2)),
-			Zone:   dfuident.Zone(fmt.Sprintf("zone-%d", i%4)),
-		}, dfumembership.Target{Service: "lager", Slots: 12})
-	}
-	f.CompleteMembership()
-	f.Run(3 * dfuclock.Second)
+	addNodes(f, 20, 4)
 	watchers := 0
 	for _, n := range f.Nodes() {
 		if lost(n.Place) && n.Keeper.Exchange().Watcher() {
