--- a/core/version/dfurecord/exchange.go
+++ b/core/version/dfurecord/exchange.go
@@ -532,7 +532,7 @@
 }
 
 // scheduleRemoteAdvert schedules the adverts of a changed key to other regions if the node
-// is a bridge. None of the watchers of a region may be able to reach the store.
+// is a bridge. It is possible that no watcher of those regions can reach the store.
 func (x *Exchange) scheduleRemoteAdvert(now dfuclock.Time, key string) {
 	if x.synced && len(x.peers.RemotePeers) > 0 {
 		x.remoteAdverts[key] = remoteAdvert{at: now.Add(x.cfg.RemoteDelay), roundsLeft: x.cfg.RemoteRounds}
--- a/io/process/dfucontrol/owner.go
+++ b/io/process/dfucontrol/owner.go
@@ -91,7 +91,7 @@
 	}
 }
 
-// checkStore passes it to the keeper if the node has lost the store or reaches it again.
+// checkStore informs the keeper if the node has lost the store or reaches it again.
 func (l *eventLoop) checkStore() {
 	if lost := l.control.storeLost.Load(); lost != l.storeLost {
 		l.storeLost = lost
