--- a/io/process/dfucontrol/controller.go
+++ b/io/process/dfucontrol/controller.go
@@ -32,6 +32,8 @@
 	// readRequests requests one list of every prefix from the store.
 	readRequests chan struct{}
 	announcement atomic.Pointer[Announcement]
+	// stopped is closed when the event loop has ended.
+	stopped chan struct{}
 
 	member     atomic.Pointer[dfuident.Member]
 	view       atomic.Pointer[dfuroster.View]
@@ -74,6 +76,7 @@
 		joinCandidates:      dfuring.New[dfumembership.Contact](maxJoinCandidates),
 		announcementChanged: make(chan struct{}, 1),
 		readRequests:        make(chan struct{}, 1),
+		stopped:             make(chan struct{}),
 		rand:                deps.Rand,
 	}
 	c.view.Store(dfuroster.New())
@@ -117,7 +120,8 @@
 	return dfuident.Member{}
 }
 
-// Run joins the fleet and then runs the control plane until ctx ends.
+// Run joins the fleet and then runs the control plane until ctx ends. It may be called
+// once.
 func (c *Controller) Run(ctx context.Context) error {
 	joined, err := c.join(ctx)
 	if err != nil {
@@ -142,6 +146,7 @@
 		wg.Go(func() { _ = c.send(ctx) })
 	}
 	err = loop.run(ctx, joined.seeds)
+	close(c.stopped)
 	cancel()
 	wg.Wait()
 	return err
--- a/io/process/dfucontrol/controller_test.go
+++ b/io/process/dfucontrol/controller_test.go
@@ -376,6 +376,31 @@
 	f.wait("the first nodes watch again", func() bool { return maps.Equal(watchers(), first) })
 }
 
+// A packet that arrives while the control plane stops must be rejected at once. The node's
+// server waits for calls in progress, so that the node would run on after its grace period.
+func TestPacketToAStoppingNodeIsRejectedAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	c, stop := f.start(0)
+	f.wait("the node sees itself", allAlive([]*dfucontrol.Controller{c}, 1))
+	failed := make(chan error)
+	for range 8 {
+		go func() {
+			for {
+				var answer dfuroster.Packet
+				if err := c.Receiver().Deliver(&dfuroster.Packet{}, &answer); err != nil {
+					failed <- err
+					return
+				}
+			}
+		}()
+	}
+	stop()
+	for range 8 {
+		is.True(!errors.Is(<-failed, context.DeadlineExceeded))
+	}
+}
+
 func TestRestartedNodeHasGreaterIncarnation(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t)
--- a/io/process/dfucontrol/receiver.go
+++ b/io/process/dfucontrol/receiver.go
@@ -24,6 +24,9 @@
 // errNotReady is returned to peers until the node has joined.
 var errNotReady = errors.New("the node has not joined yet")
 
+// errStopped is returned to peers after the event loop has ended.
+var errStopped = errors.New("the control plane has stopped")
+
 // Deliver passes a packet to the event loop and waits for the direct answer to
 // it, which may be empty. A packet that arrives before the node has joined is
 // rejected, and its sender becomes a join candidate.
@@ -44,6 +47,8 @@
 	select {
 	case *answer = <-reply:
 		return nil
+	case <-c.stopped:
+		return errStopped
 	case <-timer.C:
 		return context.DeadlineExceeded
 	}
