--- a/core/version/dfuroster/region_test.go
+++ b/core/version/dfuroster/region_test.go
@@ -20,22 +20,22 @@
 	watcherTestBound = 2000 * dfuclock.Millisecond
 )
 
-// newFleetWithoutWatches returns a fleet of 20 nodes in two regions, after fail has been
-// called for those watchers for which lost returns true.
-func newFleetWithoutWatches(t *testing.T, lost func(dfuident.Place) bool, fail func(*dfufleet.Fleet, dfuident.NodeID)) *dfufleet.Fleet {
+// newFleetWithFailures returns a fleet of 20 nodes in two regions, after fail has been called
+// for those nodes for which selected returns true.
+func newFleetWithFailures(t *testing.T, selected func(*dfufleet.Node) bool, fail func(*dfufleet.Fleet, dfuident.NodeID)) *dfufleet.Fleet {
 	t.Helper()
 	cfg := dfufleet.DefaultConfig()
 	cfg.LossPerMille = 20
 	f := dfufleet.New(cfg)
 	addNodes(f, 20, 4)
-	watchers := 0
+	failed := 0
 	for _, n := range f.Nodes() {
-		if lost(n.Place) && n.Keeper.Exchange().Watcher() {
+		if selected(n) {
 			fail(f, n.Member.Node)
-			watchers++
+			failed++
 		}
 	}
-	is.New(t).True(watchers > 0)
+	is.New(t).True(failed > 0)
 	return f
 }
 
@@ -56,30 +56,31 @@
 	}
 }
 
-// Changes must come into force in time in a region none of whose watchers gets answers from
-// the store, while other nodes do. Load: ten changes in quick succession.
+// Changes must come into force in time in a region none of whose nodes gets answers from
+// the store, while other regions do. Load: ten changes in quick succession.
 func TestRegionWithoutStoreHearsInTime(t *testing.T) {
 	for _, region := range []dfuident.Region{"region-0", "region-1"} {
 		t.Run(string(region), func(t *testing.T) {
-			checkChangesInForce(t, newFleetWithoutWatches(t, func(p dfuident.Place) bool { return p.Region == region }, silence))
+			isLocal := func(n *dfufleet.Node) bool { return n.Place.Region == region }
+			checkChangesInForce(t, newFleetWithFailures(t, isLocal, silence))
 		})
 	}
 }
 
-func silence(f *dfufleet.Fleet, id dfuident.NodeID) { f.SetWatchUnanswered(id, true) }
+func silence(f *dfufleet.Fleet, id dfuident.NodeID) { f.SetStoreUnanswered(id, true) }
 
 func refuse(f *dfufleet.Fleet, id dfuident.NodeID) { f.SetStoreRefused(id, true) }
 
-func everywhere(dfuident.Place) bool { return true }
+func isWatcher(n *dfufleet.Node) bool { return n.Keeper.Exchange().Watcher() }
 
 // Changes must come into force in time although the store refuses all watchers of all
 // regions, while it would answer other nodes. Load: ten changes in quick succession.
 func TestRefusedWatchersAreReplaced(t *testing.T) {
-	checkChangesInForce(t, newFleetWithoutWatches(t, everywhere, refuse))
+	checkChangesInForce(t, newFleetWithFailures(t, isWatcher, refuse))
 }
 
 // Changes must come into force in time although no watcher of any region gets answers
 // from the store, while other nodes would. Load: ten changes in quick succession.
 func TestFleetWithoutWatchersHearsInTime(t *testing.T) {
-	checkChangesInForce(t, newFleetWithoutWatches(t, everywhere, silence))
+	checkChangesInForce(t, newFleetWithFailures(t, isWatcher, silence))
 }
--- a/io/process/dfucontrol/config.go
+++ b/io/process/dfucontrol/config.go
@@ -20,6 +20,7 @@
 	Get(ctx context.Context, key string) (dfustore.Record, error)
 	List(ctx context.Context, prefix string) ([]dfustore.Record, dfuident.Revision, error)
 	ListStale(ctx context.Context, prefix string) ([]dfustore.Record, dfuident.Revision, error)
+	Ping(ctx context.Context) error
 	Watch(ctx context.Context, prefix string, after dfuident.Revision, wait dfuclock.Duration) ([]dfustore.Record, dfuident.Revision, error)
 	CompareAndSwap(ctx context.Context, key string, expect dfuident.Revision, value []byte, lease dfustore.LeaseID) (dfuident.Revision, error)
 }
@@ -59,6 +60,12 @@
 	// watches succeed. Jitter adds up to the same time again. After a failure,
 	// it lists again after the backoff.
 	ListPeriod dfuclock.Duration
+	// ProbePeriod is the mean time between two pings of the store by a watcher.
+	ProbePeriod dfuclock.Duration
+	// ProbeTimeout is the time after which a ping counts as unanswered. It doubles with
+	// each one, up to ProbeTimeoutMax, until one is answered in ProbeTimeout.
+	ProbeTimeout    dfuclock.Duration
+	ProbeTimeoutMax dfuclock.Duration
 	// PagePeriod is the mean time between two checks of the zone page by the
 	// zone's bridge.
 	PagePeriod dfuclock.Duration
@@ -77,16 +84,19 @@
 // that identify the node are empty.
 func DefaultConfig() Config {
 	return Config{
-		Prefixes:    []string{dfustore.CataloguePrefix, dfustore.ClaimsPrefix},
-		Membership:  dfumembership.DefaultConfig(),
-		CallTimeout: 900 * dfuclock.Millisecond,
-		WatchWait:   2 * dfuclock.Second,
-		ListPeriod:  dfuclock.Minute,
-		PagePeriod:  30 * dfuclock.Second,
-		RetryMin:    100 * dfuclock.Millisecond,
-		RetryMax:    5 * dfuclock.Second,
-		Senders:     16,
-		RingSize:    1024,
+		Prefixes:        []string{dfustore.CataloguePrefix, dfustore.ClaimsPrefix},
+		Membership:      dfumembership.DefaultConfig(),
+		CallTimeout:     900 * dfuclock.Millisecond,
+		WatchWait:       2 * dfuclock.Second,
+		ListPeriod:      dfuclock.Minute,
+		ProbePeriod:     dfuclock.Second,
+		ProbeTimeout:    500 * dfuclock.Millisecond,
+		ProbeTimeoutMax: 2 * dfuclock.Second,
+		PagePeriod:      30 * dfuclock.Second,
+		RetryMin:        100 * dfuclock.Millisecond,
+		RetryMax:        5 * dfuclock.Second,
+		Senders:         16,
+		RingSize:        1024,
 	}
 }
 
--- a/io/process/dfucontrol/controller.go
+++ b/io/process/dfucontrol/controller.go
@@ -29,6 +29,8 @@
 	joinCandidates *dfuring.Ring[dfumembership.Contact]
 	// announcementChanged wakes the event loop when announcement was replaced.
 	announcementChanged chan struct{}
+	// watches holds the watch of each prefix.
+	watches []*prefixWatch
 	// readRequests requests one list of every prefix from the store.
 	readRequests chan struct{}
 	announcement atomic.Pointer[Announcement]
@@ -79,6 +81,9 @@
 		stopped:             make(chan struct{}),
 		rand:                deps.Rand,
 	}
+	for _, prefix := range cfg.Prefixes {
+		c.watches = append(c.watches, &prefixWatch{prefix: prefix, retry: c.newBackoff()})
+	}
 	c.view.Store(dfuroster.New())
 	c.status.Store(&Status{})
 	return c
@@ -139,9 +144,10 @@
 	if c.cfg.ReadAtStart {
 		wg.Go(func() { _ = c.readAtStart(ctx, joined.listed) })
 	}
-	for _, prefix := range c.cfg.Prefixes {
-		wg.Go(func() { _ = c.watch(ctx, prefix) })
+	for _, w := range c.watches {
+		wg.Go(func() { _ = c.watch(ctx, w) })
 	}
+	wg.Go(func() { _ = c.probe(ctx) })
 	for range c.cfg.Senders {
 		wg.Go(func() { _ = c.send(ctx) })
 	}
--- a/io/process/dfucontrol/controller_test.go
+++ b/io/process/dfucontrol/controller_test.go
@@ -89,6 +89,16 @@
 	return s.since(prefix, 0)
 }
 
+func (s *fakeStore) Ping(context.Context) error {
+	s.count(0.1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return dfustore.ErrUnavailable
+	}
+	return nil
+}
+
 func (s *fakeStore) since(prefix string, after dfuident.Revision) ([]dfustore.Record, dfuident.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -161,24 +171,55 @@
 	return nodes, s.writes
 }
 
-// refusableStore is a node's access to the store, which can be refused.
-type refusableStore struct {
+// nodeStore is a node's access to the store, which can be refused or get no answers.
+type nodeStore struct {
 	*fakeStore
-	refused atomic.Bool
+	refused    atomic.Bool
+	unanswered atomic.Bool
 }
 
-func (s *refusableStore) List(ctx context.Context, prefix string) ([]dfustore.Record, dfuident.Revision, error) {
-	if s.refused.Load() {
-		return nil, 0, dfustore.ErrUnavailable
+func (s *nodeStore) List(ctx context.Context, prefix string) ([]dfustore.Record, dfuident.Revision, error) {
+	if err := s.check(ctx, 0); err != nil {
+		return nil, 0, err
 	}
 	return s.fakeStore.List(ctx, prefix)
 }
 
-func (s *refusableStore) Watch(ctx context.Context, prefix string, after dfuident.Revision, wait dfuclock.Duration) ([]dfustore.Record, dfuident.Revision, error) {
+func (s *nodeStore) Watch(ctx context.Context, prefix string, after dfuident.Revision, wait dfuclock.Duration) ([]dfustore.Record, dfuident.Revision, error) {
+	if err := s.check(ctx, wait); err != nil {
+		return nil, 0, err
+	}
+	records, revision, err := s.fakeStore.Watch(ctx, prefix, after, wait)
+	if lost := s.check(ctx, wait); lost != nil {
+		return nil, 0, lost
+	}
+	return records, revision, err
+}
+
+func (s *nodeStore) Ping(ctx context.Context) error {
+	if err := s.check(ctx, 0); err != nil {
+		return err
+	}
+	return s.fakeStore.Ping(ctx)
+}
+
+// unansweredTimeout, plus the wait of a watch, is the time after which a call without an
+// answer fails.
+const unansweredTimeout = 2 * dfuclock.Second
+
+// check returns an error if calls are refused, and waits for the timeout or the end of ctx if
+// they get no answer.
+func (s *nodeStore) check(ctx context.Context, wait dfuclock.Duration) error {
+	if s.unanswered.Load() {
+		ctx, cancel := context.WithTimeout(ctx, (unansweredTimeout + wait).Std())
+		defer cancel()
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	if s.refused.Load() {
-		return nil, 0, dfustore.ErrUnavailable
+		return dfustore.ErrUnavailable
 	}
-	return s.fakeStore.Watch(ctx, prefix, after, wait)
+	return nil
 }
 
 // network delivers calls between controllers in one process.
@@ -202,7 +243,7 @@
 	t     *testing.T
 	store *fakeStore
 	// access holds the access of each node to the store.
-	access map[dfuident.NodeID]*refusableStore
+	access map[dfuident.NodeID]*nodeStore
 	net    *network
 	// joinPeriod overrides Config.Membership.JoinPeriod if it is positive.
 	joinPeriod dfuclock.Duration
@@ -212,7 +253,7 @@
 }
 
 func newFleet(t *testing.T) *fleet {
-	return &fleet{t: t, store: newFakeStore(), access: make(map[dfuident.NodeID]*refusableStore), net: &network{nodes: make(map[dfuident.Address]*dfucontrol.Controller)}}
+	return &fleet{t: t, store: newFakeStore(), access: make(map[dfuident.NodeID]*nodeStore), net: &network{nodes: make(map[dfuident.Address]*dfucontrol.Controller)}}
 }
 
 // start runs the controller of node vm-i and returns it with a function that
@@ -239,7 +280,7 @@
 	cfg.Node = dfuident.NodeID(fmt.Sprintf("vm-%d", i))
 	cfg.Place = dfuident.Place{Region: "sued", Zone: dfuident.Zone(fmt.Sprintf("sued-%c", 'a'+i%2))}
 	cfg.Peer = dfuident.Address(fmt.Sprintf("127.0.0.1:%d", 7000+i))
-	access := &refusableStore{fakeStore: f.store}
+	access := &nodeStore{fakeStore: f.store}
 	f.access[cfg.Node] = access
 	c := dfucontrol.New(cfg, dfucontrol.Deps{
 		Store: access, PeerClient: f.net, Clock: dfuclock.New(), Wall: wall,
@@ -338,7 +379,21 @@
 // A watcher that the store refuses must not keep the role, since changes would be late at
 // all nodes of its zone. It takes the role back when it reaches the store again.
 func TestRefusedWatcherHandsOver(t *testing.T) {
+	checkWatchersHandOver(t, newFleet(t), func(s *nodeStore) *atomic.Bool { return &s.refused })
+}
+
+// A watcher to which the store gives no answer must not keep the role until its watch ends,
+// since changes would be late at all nodes of its zone.
+func TestUnansweredWatcherHandsOver(t *testing.T) {
 	f := newFleet(t)
+	f.watchWait = dfuclock.Hour
+	checkWatchersHandOver(t, f, func(s *nodeStore) *atomic.Bool { return &s.unanswered })
+}
+
+// checkWatchersHandOver checks that other nodes watch while a fault of the store is set for
+// the first watchers, and that these watch again afterwards.
+func checkWatchersHandOver(t *testing.T, f *fleet, fault func(*nodeStore) *atomic.Bool) {
+	t.Helper()
 	var controllers []*dfucontrol.Controller
 	for i := range 8 {
 		c, _ := f.start(i)
@@ -357,7 +412,7 @@
 	f.wait("two nodes of each zone watch", func() bool { return len(watchers()) == 4 })
 	first := watchers()
 	for node := range first {
-		f.access[node].refused.Store(true)
+		fault(f.access[node]).Store(true)
 	}
 	f.wait("the other nodes watch", func() bool {
 		now := watchers()
@@ -371,7 +426,7 @@
 		})
 	})
 	for node := range first {
-		f.access[node].refused.Store(false)
+		fault(f.access[node]).Store(false)
 	}
 	f.wait("the first nodes watch again", func() bool { return maps.Equal(watchers(), first) })
 }
--- a/io/process/dfucontrol/watch.go
+++ b/io/process/dfucontrol/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
@@ -25,6 +26,8 @@
 	failures int
 	// nextCheckAt is when a node that has lost the store tries again.
 	nextCheckAt dfuclock.Time
+	// cancel cancels the current or latest call of follow.
+	cancel atomic.Pointer[context.CancelCauseFunc]
 }
 
 // failuresUntilLost is the number of consecutive failures of a watch after which the store
@@ -35,28 +38,29 @@
 // failure it starts again with a full list. A node that has lost the store, and with it
 // the role of a watcher, continues to try at long intervals. With ReadAtStart it begins when
 // the nodes that start together have met, since each considers itself a watcher before that.
-func (c *Controller) watch(ctx context.Context, prefix string) error {
-	start := c.deps.Clock.Now()
-	if c.cfg.ReadAtStart {
-		start = start.Add(startReadTimeout)
+func (c *Controller) watch(ctx context.Context, w *prefixWatch) error {
+	if err := c.awaitWatchStart(ctx); err != nil {
+		return err
 	}
-	w := prefixWatch{prefix: prefix, retry: c.newBackoff(), nextCheckAt: start}
 	for {
-		now := c.deps.Clock.Now()
-		isCheckDue := c.storeLost.Load() && !now.Before(w.nextCheckAt)
-		if !c.watcher.Load() && !isCheckDue || now.Before(start) {
+		isCheckDue := c.storeLost.Load() && !c.deps.Clock.Now().Before(w.nextCheckAt)
+		if !c.watcher.Load() && !isCheckDue {
 			if err := sleep(ctx, c.cfg.Membership.TickPeriod); err != nil {
 				return err
 			}
 			continue
 		}
-		err := c.follow(ctx, &w)
+		followCtx, cancel := context.WithCancelCause(ctx)
+		w.cancel.Store(&cancel)
+		err := c.follow(followCtx, w)
+		isUnanswered := errors.Is(err, errUnanswered) || errors.Is(context.Cause(followCtx), errUnanswered)
+		cancel(nil)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
 		if err != nil && !errors.Is(err, dfustore.ErrCompacted) {
-			c.recordStoreFailure("watch "+prefix, err)
-			if w.failures++; w.failures >= failuresUntilLost {
+			c.recordStoreFailure("watch "+w.prefix, err)
+			if w.failures++; w.failures >= failuresUntilLost || isUnanswered {
 				c.storeLost.Store(true)
 				w.nextCheckAt = c.deps.Clock.Now().Add(c.cfg.RetryMax)
 			}
@@ -67,14 +71,25 @@
 	}
 }
 
+// awaitWatchStart waits until the nodes that start together have met, with ReadAtStart.
+func (c *Controller) awaitWatchStart(ctx context.Context) error {
+	if !c.cfg.ReadAtStart {
+		return nil
+	}
+	return sleep(ctx, startReadTimeout)
+}
+
 // watchPause is the pause after a watch call that returned records. It batches
 // bursts of changes, such as those of the claim tables when a whole zone comes
 // back.
 const watchPause = 100 * dfuclock.Millisecond
 
 // follow lists a prefix once and then watches it until the next full list is due
-// or the node is no longer a watcher.
+// or the node is no longer a watcher. A ping, which is cheaper than a list, precedes the list.
 func (c *Controller) follow(ctx context.Context, w *prefixWatch) error {
+	if err := c.ping(ctx, c.cfg.ProbeTimeoutMax); err != nil {
+		return err
+	}
 	revision, err := c.list(ctx, w.prefix)
 	if err != nil {
 		return err
--- a/io/process/dfustore/store.go
+++ b/io/process/dfustore/store.go
@@ -19,6 +19,9 @@
 	// ListStale is like List, but its result may be some seconds old, which the
 	// returned revision shows. The platform charges a tenth of a List for it.
 	ListStale(ctx context.Context, prefix string) ([]Record, dfuident.Revision, error)
+	// Ping makes a small read, for which the platform charges a tenth of a List. It returns
+	// nil if the store answers it or sends data of any other answer before ctx ends.
+	Ping(ctx context.Context) error
 	// Watch waits, for at most wait, until a record whose key has the prefix has
 	// a revision above after. It returns all such records including deletes,
 	// ordered by revision, and the revision to pass as after in the next call. On
--- a/measure/dfufleet/script.go
+++ b/measure/dfufleet/script.go
@@ -132,7 +132,7 @@
 	case "lag":
 		s.fleet.SetReplicaServesWatches(true)
 	case "silent":
-		s.fleet.SetWatchUnanswered(dfuident.NodeID(args[1]), true)
+		s.fleet.SetStoreUnanswered(dfuident.NodeID(args[1]), true)
 	case "region":
 		s.fleet.SetStoreRegion(dfuident.Region(args[1]))
 	default:
--- a/measure/dfufleet/store.go
+++ b/measure/dfufleet/store.go
@@ -15,10 +15,12 @@
 // watchTimeout is how long the store holds a watch open if nothing changes.
 const watchTimeout = 2 * dfuclock.Second
 
-// failuresUntilLost and lostCheckPeriod are those of the daemon.
+// These are the values of the daemon.
 const (
 	failuresUntilLost = 2
 	lostCheckPeriod   = 5 * dfuclock.Second
+	probePeriod       = dfuclock.Second
+	probeTimeout      = 500 * dfuclock.Millisecond
 )
 
 // store holds records with their revisions. It is located in one region.
@@ -42,12 +44,15 @@
 	after    dfuident.Revision
 	// answeredAt is when a watch last returned.
 	answeredAt dfuclock.Time
-	// unanswered reports whether the store does not answer the node's watches.
+	// unanswered reports whether the store does not answer the node's calls.
 	unanswered bool
+	// nextProbeAt is when the node pings the store next.
+	nextProbeAt dfuclock.Time
 	// refused reports whether the store refuses the node's calls.
 	refused bool
 	// failures counts the failed calls since the last list, and lost is set from the
-	// second on. The node then tries again at nextCheckAt.
+	// second on or after a ping without an answer. The node then tries again at
+	// nextCheckAt.
 	failures    int
 	lost        bool
 	nextCheckAt dfuclock.Time
@@ -104,8 +109,8 @@
 	f.store.replicaServesWatches = replicaServesWatches && f.store.replica != nil
 }
 
-// SetWatchUnanswered sets whether the store stops answering a node's watches.
-func (f *Fleet) SetWatchUnanswered(id dfuident.NodeID, unanswered bool) {
+// SetStoreUnanswered sets whether the store stops answering a node's calls.
+func (f *Fleet) SetStoreUnanswered(id dfuident.NodeID, unanswered bool) {
 	f.byID[id].watch.unanswered = unanswered
 }
 
@@ -158,20 +163,23 @@
 	if w.refused || !f.storeReachable(n) {
 		w.watching = false
 		if w.failures++; w.failures >= failuresUntilLost {
-			w.nextCheckAt = f.now.Add(lostCheckPeriod)
-			f.setStoreLost(n, true)
+			f.loseStore(n)
 		}
 		return
 	}
 	if !w.watching {
-		w.failures = 0
-		f.setStoreLost(n, false)
 		w.watching = true
+		w.nextProbeAt = f.now
 		w.after = f.store.revision
 		w.answeredAt = f.now
-		f.listStore(n)
+		if !w.unanswered {
+			w.failures = 0
+			f.setStoreLost(n, false)
+			f.listStore(n)
+		}
 		return
 	}
+	f.probeStore(n)
 	from := &f.store
 	if from.replicaServesWatches {
 		from = from.replica
@@ -190,6 +198,23 @@
 	w.answeredAt = f.now
 }
 
+// probeStore mirrors how the daemon pings the store while it watches.
+func (f *Fleet) probeStore(n *Node) {
+	w := &n.watch
+	switch {
+	case w.unanswered && !f.now.Before(w.nextProbeAt.Add(probeTimeout)):
+		w.watching = false
+		f.loseStore(n)
+	case !w.unanswered && !f.now.Before(w.nextProbeAt):
+		w.nextProbeAt = f.now.Add(probePeriod)
+	}
+}
+
+func (f *Fleet) loseStore(n *Node) {
+	n.watch.nextCheckAt = f.now.Add(lostCheckPeriod)
+	f.setStoreLost(n, true)
+}
+
 func (f *Fleet) setStoreLost(n *Node, lost bool) {
 	if n.watch.lost != lost {
 		n.watch.lost = lost
@@ -200,7 +225,7 @@
 func (f *Fleet) listStore(n *Node) {
 	for _, prefix := range f.prefixes() {
 		f.store.calls++
-		if !f.storeReachable(n) {
+		if n.watch.unanswered || !f.storeReachable(n) {
 			continue
 		}
 		from := &f.store
