--- a/io/process/dfunode/fleet_test.go
+++ b/io/process/dfunode/fleet_test.go
@@ -459,6 +459,7 @@
 		var s struct{ Banned int }
 		for deadline := time.Now().Add(waitTimeout); s.Banned == 0; time.Sleep(20 * time.Millisecond) {
 			if time.Now().After(deadline) {
+				f.showLogs()
 				f.ts.Fatalf("%s refuses no request that crashed targets", node)
 			}
 			f.get(node, "status", &s)
