--- a/io/process/dfucontrol/config.go
+++ b/io/process/dfucontrol/config.go
@@ -63,7 +63,7 @@
 	// ProbePeriod is the mean time between two pings of the store by a watcher.
 	ProbePeriod dfuclock.Duration
 	// ProbeTimeout is the time after which a ping counts as unanswered. It doubles with
-	// each one, up to ProbeTimeoutMax, until one is answered in ProbeTimeout.
+	// each such ping, up to ProbeTimeoutMax, until one is answered in ProbeTimeout.
 	ProbeTimeout    dfuclock.Duration
 	ProbeTimeoutMax dfuclock.Duration
 	// PagePeriod is the mean time between two checks of the zone page by the
