--- a/core/version/dfuroster/region_test.go
+++ b/core/version/dfuroster/region_test.go
@@ -1,7 +1,6 @@
 package dfuroster_test
 
 import (
-	"fmt"
 	"testing"
 
 	"dragonflyusher/core/process/dfuclock"
@@ -43,10 +42,9 @@
 func checkChangesInForce(t *testing.T, f *dfufleet.Fleet) {
 	t.Helper()
 	for i := range watcherTestChanges {
-		service := dfuident.Service(fmt.Sprintf("service-%d", i))
-		f.Put("catalogue/"+string(service), []byte(`{"change_id":"c","entry":{"service":"`+string(service)+`","owner":"stock"}}`))
+		putService(f, i)
 		inForce := inAllViews(f, func(v *dfuroster.View) bool {
-			_, _, ok := v.Entry(service)
+			_, _, ok := v.Entry(testService(i))
 			return ok
 		})
 		if !f.RunUntil(watcherTestBound, inForce) {
