--- a/core/process/dfumembership/machine.go
+++ b/core/process/dfumembership/machine.go
@@ -50,6 +50,9 @@
 	JoinPeriod dfuclock.Duration
 	// DeadRetention is how long members that died or left are remembered.
 	DeadRetention dfuclock.Duration
+	// WatchProbePeriod is the time between two probes of the zone's watchers by a
+	// member that ranks behind them.
+	WatchProbePeriod dfuclock.Duration
 	// RegionFailures is the number of consecutive failed probes after which a
 	// region counts as unreachable.
 	RegionFailures int
@@ -76,6 +79,7 @@
 		SeedPeriod:       5 * dfuclock.Second,
 		JoinPeriod:       5 * dfuclock.Second,
 		DeadRetention:    10 * dfuclock.Minute,
+		WatchProbePeriod: 500 * dfuclock.Millisecond,
 		RegionFailures:   4,
 		Members:          4096,
 	}
@@ -128,6 +132,7 @@
 	gossipQueue gossipQueue
 	sync        syncState
 	probe       probeState
+	watchProbes watchProbes
 
 	regions    map[dfuident.Region]*regionState
 	seeds      []Seed
@@ -147,6 +152,11 @@
 	// deadline is when a suspected member is declared dead, or a dead one
 	// forgotten.
 	deadline dfuclock.Time
+	// heardAt is when the latest message from the member arrived.
+	heardAt dfuclock.Time
+	// unresponsive is set if the present run has not answered a watch probe of this node
+	// and has not sent anything to it since.
+	unresponsive bool
 }
 
 // New returns the Machine of a node that knows no other members.
@@ -214,12 +224,17 @@
 	if !m.started {
 		m.start(now)
 	}
-	if gap := now.Sub(m.lastTick); gap > m.cfg.ProbePeriod {
+	gap := now.Sub(m.lastTick)
+	if gap > m.cfg.ProbePeriod {
 		m.handlePause(now, gap)
 	}
+	if gap > m.cfg.AckTimeout/2 {
+		m.delayWatchProbes(now)
+	}
 	m.lastTick = now
 	m.expire(now)
 	m.stepProbes(now)
+	m.stepWatchProbes(now)
 	m.stepGossip(now)
 	m.stepSeeds(now)
 }
@@ -231,6 +246,7 @@
 	m.startedAt = now
 	m.lastTick = now
 	m.probe.next = now.Add(m.jitter(m.cfg.ProbePeriod))
+	m.watchProbes.next = now.Add(m.jitter(m.cfg.WatchProbePeriod))
 	m.gossipQueue.next = now.Add(m.jitter(m.cfg.GossipPeriod))
 	m.nextSeedAt = now.Add(m.jitter(m.cfg.SeedPeriod))
 	m.gossipQueue.add(m.self, m.sendLimit())
@@ -332,6 +348,9 @@
 	if u.Details == nil {
 		u.Details = h.update.Details
 	}
+	if h.update.Member != u.Member {
+		h.unresponsive = false
+	}
 	h.update = u
 	return true
 }
--- a/core/process/dfumembership/message.go
+++ b/core/process/dfumembership/message.go
@@ -177,6 +177,10 @@
 // one.
 type RegionChanged struct{ Status RegionStatus }
 
+// RanksChanged reports that the ranks of the members that watch the store, or the gossip
+// peers, may have changed although no member has.
+type RanksChanged struct{}
+
 // Superseded reports that a later run of this node exists. This run must stop.
 type Superseded struct{ By dfuident.Member }
 
@@ -184,4 +188,5 @@
 func (Changed) action()       {}
 func (Forgotten) action()     {}
 func (RegionChanged) action() {}
+func (RanksChanged) action()  {}
 func (Superseded) action()    {}
--- a/core/process/dfumembership/sync.go
+++ b/core/process/dfumembership/sync.go
@@ -47,6 +47,7 @@
 
 // receive applies the updates in a message and handles it by kind.
 func (m *Machine) receive(now dfuclock.Time, msg Message) {
+	m.recordContact(now, msg.From.Member)
 	crossRegion := msg.From.Region != m.region
 	// Updates received while joining are already known to the others.
 	spread := crossRegion || msg.Kind != SyncReply || m.Joined()
--- a/core/process/dfumembership/topology.go
+++ b/core/process/dfumembership/topology.go
@@ -32,6 +32,10 @@
 	// store, or zoneSize if the node is not among them.
 	watchRank int
 	zoneSize  int
+	// predecessors are the members of the zone that rank before the node if they reach the
+	// store. watchers are those that watch it; empty if the node does.
+	watchers     []*member
+	predecessors []*member
 }
 
 type remoteRegion struct {
@@ -133,12 +137,13 @@
 }
 
 // GossipPeers returns the members of the region that the node contacts on its
-// own initiative.
+// own initiative, without those that have not answered it of late.
 func (m *Machine) GossipPeers() []Contact {
-	gossipPeers := m.currentTopology().gossipPeers
-	contacts := make([]Contact, len(gossipPeers))
-	for i, h := range gossipPeers {
-		contacts[i] = h.contact()
+	var contacts []Contact
+	for _, h := range m.currentTopology().gossipPeers {
+		if !h.unresponsive {
+			contacts = append(contacts, h.contact())
+		}
 	}
 	return contacts
 }
@@ -163,10 +168,14 @@
 // the calls of a zone to a store that is down for all.
 const maxWatchCandidates = 4
 
-// rankWatchers ranks the first candidates by score. Those that have lost the store come
-// last.
+// rankWatchers ranks the first responsive candidates by score. Those that have lost the
+// store come last.
 func (l *topology) rankWatchers(self *member, candidates []*member) {
 	slices.SortFunc(candidates, func(a, b *member) int { return compareScores(b, a) })
+	if position := slices.Index(candidates, self); position >= 0 {
+		l.predecessors = slices.Clone(candidates[:position])
+	}
+	candidates = slices.DeleteFunc(candidates, func(h *member) bool { return h.unresponsive })
 	candidates = candidates[:min(len(candidates), maxWatchCandidates)]
 	slices.SortStableFunc(candidates, func(a, b *member) int {
 		return compareBools(a.update.Details.StoreLost, b.update.Details.StoreLost)
@@ -175,6 +184,9 @@
 	if l.watchRank < 0 {
 		l.watchRank = l.zoneSize
 	}
+	if l.watchRank >= WatchersPerZone {
+		l.watchers = candidates[:min(len(candidates), WatchersPerZone)]
+	}
 }
 
 // compareBools orders false before true.
--- a/core/version/dfuroster/keeper.go
+++ b/core/version/dfuroster/keeper.go
@@ -13,9 +13,6 @@
 	"dragonflyusher/core/version/dfuroute"
 )
 
-// watchersPerZone is the number of nodes in a zone that watch the store.
-const watchersPerZone = 2
-
 // Config holds the keys of the records and the settings of the membership and
 // the record exchange.
 type Config struct {
@@ -132,7 +129,7 @@
 func (k *Keeper) updatePeers() {
 	rank, size := k.membership.WatchRank()
 	joined := k.membership.Joined()
-	e := dfurecord.PeersChanged{ZoneSize: size, Watcher: joined && rank < watchersPerZone}
+	e := dfurecord.PeersChanged{ZoneSize: size, Watcher: joined && rank < dfumembership.WatchersPerZone}
 	for _, c := range k.membership.GossipPeers() {
 		e.GossipPeers = append(e.GossipPeers, peerOf(c))
 	}
@@ -180,6 +177,8 @@
 			k.change.Forgotten = append(k.change.Forgotten, a.Nodes...)
 		case dfumembership.RegionChanged:
 			k.updateRegion(a.Status)
+		case dfumembership.RanksChanged:
+			k.peersStale = true
 		case dfumembership.Superseded:
 			k.emit(Superseded{By: a.By})
 		}
--- a/core/version/dfuroster/survivors_test.go
+++ b/core/version/dfuroster/survivors_test.go
@@ -88,3 +88,35 @@
 	service := string(testService(i))
 	f.Put("catalogue/"+service, []byte(`{"change_id":"c","entry":{"service":"`+service+`","owner":"stock"}}`))
 }
+
+// watchersOfZone returns the nodes that watch the store for a zone.
+func watchersOfZone(f *dfufleet.Fleet, place dfuident.Place) []*dfufleet.Node {
+	var watchers []*dfufleet.Node
+	for _, n := range f.Nodes() {
+		if n.Place == place && isWatcher(n) {
+			watchers = append(watchers, n)
+		}
+	}
+	return watchers
+}
+
+// Nodes that watch the store in place of paused ones must hand the role back when these are
+// resumed. Otherwise the calls to the store grow with every pause.
+func TestWatchersReturnAfterAPause(t *testing.T) {
+	is := is.New(t)
+	f := dfufleet.New(dfufleet.DefaultConfig())
+	addNodes(f, 76, 4)
+	place := f.Nodes()[0].Place
+	paused := watchersOfZone(f, place)
+	is.Equal(len(paused), 2)
+	for _, n := range paused {
+		f.Pause(n.Member.Node)
+	}
+	f.Run(1500 * dfuclock.Millisecond)
+	is.Equal(len(watchersOfZone(f, place)), 4) // two others besides those that are paused
+	for _, n := range paused {
+		f.Resume(n.Member.Node)
+	}
+	f.Run(1500 * dfuclock.Millisecond)
+	is.Equal(watchersOfZone(f, place), paused)
+}
