--- a/core/version/dfurecord/exchange.go
+++ b/core/version/dfurecord/exchange.go
@@ -36,6 +36,9 @@
 	SettlePeriod dfuclock.Duration
 	// SettleAcross is the SettlePeriod for a peer in another region.
 	SettleAcross dfuclock.Duration
+	// RecentPeriod is how long after a change the node advertises it to each peer of its
+	// region whose digest differs.
+	RecentPeriod dfuclock.Duration
 	// ComparePeriod is the minimum time between two comparisons started by the
 	// node.
 	ComparePeriod dfuclock.Duration
@@ -71,6 +74,7 @@
 		TransferBytes: 1 << 20,
 		SettlePeriod:  500 * dfuclock.Millisecond,
 		SettleAcross:  3 * dfuclock.Second,
+		RecentPeriod:  2 * dfuclock.Second,
 		ComparePeriod: dfuclock.Second,
 		QuietPeriod:   2 * dfuclock.Second,
 		QuietStep:     dfuclock.Second,
@@ -113,6 +117,9 @@
 	peers PeersChanged
 	// adverts holds the remaining advert rounds of each changed key.
 	adverts map[string]int
+	// recentChanges holds the time of the latest change of each key that has changed within
+	// RecentPeriod.
+	recentChanges map[string]dfuclock.Time
 	// remoteAdverts holds the changes that are still to be advertised to other regions.
 	remoteAdverts map[string]remoteAdvert
 	// remoteTurn is the index of the peer that received the last of these adverts,
@@ -163,6 +170,7 @@
 		rng:            rng,
 		self:           self,
 		adverts:        make(map[string]int),
+		recentChanges:  make(map[string]dfuclock.Time),
 		remoteAdverts:  make(map[string]remoteAdvert),
 		remoteTurn:     int(xxhash.Sum64String(string(self.Node)) % maxRemoteTurn),
 		pendingFetches: make(map[string]pendingFetch),
@@ -185,6 +193,9 @@
 	}
 	if len(x.changed) > 0 {
 		x.changedAt = now
+		for _, key := range x.changed {
+			x.recentChanges[key] = now
+		}
 		x.emit(Changed{Keys: x.changed})
 		x.advertise()
 	}
@@ -245,6 +256,7 @@
 	if x.startedAt == 0 {
 		x.startedAt = now
 	}
+	maps.DeleteFunc(x.recentChanges, func(_ string, at dfuclock.Time) bool { return now.Sub(at) >= x.cfg.RecentPeriod })
 	x.advertise()
 	x.advertiseToRegions(now)
 	x.compareUntilSynced(now)
@@ -383,7 +395,9 @@
 		return
 	}
 	settle := x.cfg.SettlePeriod
-	if msg.From.Region != x.self.Region {
+	if msg.From.Region == x.self.Region {
+		x.advertiseRecent(msg.From)
+	} else {
 		settle = x.cfg.SettleAcross
 	}
 	if now.Before(x.nextCompareAt) || (x.synced && now.Sub(x.changedAt) < settle) {
@@ -531,6 +545,24 @@
 	}
 }
 
+// maxRecentAdverts is the number of recent changes above which only comparisons find what a
+// peer lacks.
+const maxRecentAdverts = 32
+
+// advertiseRecent advertises the recent changes to a peer whose copy differs. The rounds of
+// adverts may have reached only peers that are gone.
+func (x *Exchange) advertiseRecent(to Peer) {
+	if len(x.recentChanges) == 0 || len(x.recentChanges) > maxRecentAdverts {
+		return
+	}
+	summaries := make([]Summary, 0, len(x.recentChanges))
+	for key := range x.recentChanges {
+		summaries = append(summaries, x.set.Revisions(key))
+	}
+	sortSummaries(summaries)
+	x.emit(Send{To: to, Message: Message{Kind: Advert, From: x.self, Summaries: summaries}})
+}
+
 // scheduleRemoteAdvert schedules the adverts of a changed key to other regions if the node
 // is a bridge. It is possible that no watcher of those regions can reach the store.
 func (x *Exchange) scheduleRemoteAdvert(now dfuclock.Time, key string) {
