--- a/core/process/dfumembership/probe.go
+++ b/core/process/dfumembership/probe.go
@@ -167,6 +167,9 @@
 }
 
 func (m *Machine) receiveAck(now dfuclock.Time, msg Message) {
+	if msg.Sequence == watchSequence {
+		return
+	}
 	for i, p := range m.probe.pending {
 		if !p.answeredBy(msg) {
 			continue
--- a/core/process/dfumembership/watch_probe.go
+++ b/core/process/dfumembership/watch_probe.go
@@ -21,6 +21,9 @@
 	watchMonitors = 16
 	// maxConcurrentWatchProbes limits the probes of predecessors that are not overdue.
 	maxConcurrentWatchProbes = 8
+	// watchSequence is the sequence of these probes. Their answers start no syncs, since
+	// all members of a zone would sync with its watchers.
+	watchSequence = 0
 )
 
 // watchProbes holds the probes of members that rank before the node.
@@ -37,6 +40,8 @@
 	// run is the run of the subject that was probed.
 	run    dfuident.Member
 	sentAt dfuclock.Time
+	// repeated is set once the ping was sent again, since the first one may be lost.
+	repeated bool
 }
 
 // stepWatchProbes handles probes without an answer and starts new ones.
@@ -69,18 +74,25 @@
 // reports whether an answer is overdue.
 func (m *Machine) expireWatchProbes(now dfuclock.Time) bool {
 	overdue := false
-	m.watchProbes.pending = slices.DeleteFunc(m.watchProbes.pending, func(p watchProbe) bool {
+	kept := m.watchProbes.pending[:0]
+	for _, p := range m.watchProbes.pending {
 		h := p.subject
 		if h.update.Member != p.run || h.update.State != Alive {
-			return true
+			continue
 		}
 		overdue = overdue || !h.unresponsive && m.isOverdue(now, p)
-		if now.Sub(p.sentAt) < m.cfg.AckTimeout {
-			return false
+		if now.Sub(p.sentAt) >= m.cfg.AckTimeout {
+			m.setUnresponsive(h, true)
+			continue
+		}
+		if !p.repeated && m.isOverdue(now, p) {
+			p.repeated = true
+			m.pingWatcher(h)
 		}
-		m.setUnresponsive(h, true)
-		return true
-	})
+		kept = append(kept, p)
+	}
+	clear(m.watchProbes.pending[len(kept):])
+	m.watchProbes.pending = kept
 	return overdue
 }
 
@@ -125,16 +137,19 @@
 	}
 }
 
-// beginWatchProbe pings a member unless a probe of it is pending. The ping carries no gossip,
-// which would be lost with it.
+// beginWatchProbe pings a member unless a probe of it is pending.
 func (m *Machine) beginWatchProbe(now dfuclock.Time, h *member) {
 	if m.pendingWatchProbe(h) >= 0 {
 		return
 	}
 	m.watchProbes.pending = append(m.watchProbes.pending, watchProbe{subject: h, run: h.update.Member, sentAt: now})
-	m.probe.sequence++
+	m.pingWatcher(h)
+}
+
+// pingWatcher sends a ping without gossip, which would be lost with it.
+func (m *Machine) pingWatcher(h *member) {
 	to := h.contact()
-	m.emit(to, Message{Kind: Ping, Sequence: m.probe.sequence, Digest: m.Digest(), Updates: m.updatesAbout(to)})
+	m.emit(to, Message{Kind: Ping, Sequence: watchSequence, Digest: m.Digest(), Updates: m.updatesAbout(to)})
 }
 
 // pendingWatchProbe returns the index of the pending probe of a member, or -1.
