--- a/core/process/dfumembership/watch_probe.go
+++ b/core/process/dfumembership/watch_probe.go
@@ -30,7 +30,7 @@
 type watchProbes struct {
 	next    dfuclock.Time
 	pending []watchProbe
-	// turn selects the watcher that is probed next.
+	// turn selects the member that is probed next.
 	turn int
 }
 
@@ -54,11 +54,14 @@
 	}
 	l := m.currentTopology()
 	m.watchProbes.next = now.Add(m.watchProbePeriod(l))
-	if len(l.watchers) > 0 {
+	subjects := l.watchers
+	if len(subjects) == 0 {
+		// These would watch the store instead of this node if they answered.
+		subjects = slices.DeleteFunc(slices.Clone(l.predecessors), func(h *member) bool { return !h.unresponsive })
+	}
+	if len(subjects) > 0 {
 		m.watchProbes.turn++
-		m.beginWatchProbe(now, l.watchers[m.watchProbes.turn%len(l.watchers)])
-	} else {
-		m.probeUnresponsive(now)
+		m.beginWatchProbe(now, subjects[m.watchProbes.turn%len(subjects)])
 	}
 }
 
@@ -67,7 +70,7 @@
 	if len(l.predecessors) < watchMonitors {
 		return m.cfg.WatchProbePeriod
 	}
-	return m.cfg.WatchProbePeriod * dfuclock.Duration(max(1, l.zoneSize/watchMonitors-1))
+	return m.cfg.WatchProbePeriod * dfuclock.Duration((l.zoneSize-1)/watchMonitors)
 }
 
 // expireWatchProbes marks the members that have not answered in time as unresponsive. It
@@ -85,7 +88,7 @@
 			m.setUnresponsive(h, true)
 			continue
 		}
-		if !p.repeated && m.isOverdue(now, p) {
+		if !p.repeated && !h.unresponsive && m.isOverdue(now, p) {
 			p.repeated = true
 			m.pingWatcher(h)
 		}
@@ -125,18 +128,6 @@
 	}
 }
 
-// probeUnresponsive probes members that would watch the store instead of this node if they
-// answered.
-func (m *Machine) probeUnresponsive(now dfuclock.Time) {
-	probed := 0
-	for _, h := range m.currentTopology().predecessors {
-		if h.unresponsive && probed < maxConcurrentWatchProbes {
-			m.beginWatchProbe(now, h)
-			probed++
-		}
-	}
-}
-
 // beginWatchProbe pings a member unless a probe of it is pending.
 func (m *Machine) beginWatchProbe(now dfuclock.Time, h *member) {
 	if m.pendingWatchProbe(h) >= 0 {
