--- a/core/process/dfumembership/machine.go
+++ b/core/process/dfumembership/machine.go
@@ -228,9 +228,7 @@
 	if gap > m.cfg.ProbePeriod {
 		m.handlePause(now, gap)
 	}
-	if gap > m.cfg.AckTimeout/2 {
-		m.delayWatchProbes(now)
-	}
+	m.delayWatchProbes(gap)
 	m.lastTick = now
 	m.expire(now)
 	m.stepProbes(now)
--- a/core/process/dfumembership/watch_probe.go
+++ b/core/process/dfumembership/watch_probe.go
@@ -10,8 +10,9 @@
 // Which members watch the store follows from their rank, so a node has to know which of
 // those that rank before it are gone. The failure detector finds the loss of one member
 // after seconds, and of several only one after the other. The members of a zone therefore
-// probe its watchers in addition. They use the results for their own rank only, since it
-// does no harm if nodes disagree and more of them watch for a while.
+// probe its watchers in addition. They use the results for their own rank and for the choice
+// of peers that get adverts. It does no harm if nodes disagree and more of them watch for a
+// while.
 
 const (
 	// WatchersPerZone is the number of members of a zone that watch the store.
@@ -148,11 +149,13 @@
 	return slices.IndexFunc(m.watchProbes.pending, func(p watchProbe) bool { return p.subject == h })
 }
 
-// delayWatchProbes restarts the time for the answers to pending probes, after a pause in
-// which none were processed.
-func (m *Machine) delayWatchProbes(now dfuclock.Time) {
+// delayWatchProbes extends the time for the answers to pending probes after a tick that came
+// late, since answers that had arrived meanwhile were not processed. A probe still fails
+// after a few ticks if all of them are late.
+func (m *Machine) delayWatchProbes(gap dfuclock.Duration) {
 	for i := range m.watchProbes.pending {
-		m.watchProbes.pending[i].sentAt = now
+		p := &m.watchProbes.pending[i]
+		p.sentAt = p.sentAt.Add(max(0, gap-m.cfg.AckTimeout/2))
 	}
 }
 
