--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -302,8 +302,9 @@
 	}
 }
 
-// rss returns the resident memory of the process, in bytes.
-func (n *node) rss() int {
+// memory returns the anonymous resident memory of the process, in bytes. Its program
+// and other mapped files, and what lies unread in its sockets, aren't counted.
+func (n *node) memory() int {
 	n.mu.Lock()
 	cmd := n.cmd
 	n.mu.Unlock()
@@ -312,7 +313,7 @@
 		return 0
 	}
 	for line := range strings.Lines(string(data)) {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+		if rest, ok := strings.CutPrefix(line, "RssAnon:"); ok {
 			kb, _ := strconv.Atoi(strings.Fields(rest)[0])
 			return kb << 10
 		}
--- a/review/stand/large_uploads.go
+++ b/review/stand/large_uploads.go
@@ -15,7 +15,7 @@
 	const shop, studio = "order-desk", "cover-studio"
 	d.configure(3, []string{shop, studio}, []route{
 		{Name: "r-orders", Host: "orders.example", Prefix: "/orders/", Kind: "non_idempotent", TimeoutMS: 1000, TargetLatency: 400, Priority: 1, Service: shop, Attempts: 2},
-		{Name: "r-covers", Host: "covers.example", Prefix: "/covers/", Kind: "upload", TimeoutMS: 5000, TargetLatency: 400, Priority: 1, Service: studio, Attempts: 2},
+		{Name: "r-covers", Host: "covers.example", Prefix: "/covers/", Kind: "upload", TimeoutMS: 1000, TargetLatency: 400, Priority: 1, Service: studio, Attempts: 2},
 	})
 	work := func(r *http.Request) time.Duration {
 		if strings.HasPrefix(r.URL.Path, "/orders/") {
@@ -64,10 +64,10 @@
 				defer c.Close()
 				id := newID()
 				d.record.printf("client: sends %s (POST /covers/1, %d bytes) to %s", id, size, entry.name)
-				if err := c.send(http.MethodPost, "covers.example", "/covers/1", id, 4*time.Second, body); err != nil {
+				if err := c.send(http.MethodPost, "covers.example", "/covers/1", id, time.Second, body); err != nil {
 					d.record.printf("client: %s isn't written whole: %v", id, err)
 				}
-				d.record.printf("client: %s gets %v", id, c.read(http.MethodPost, 5*time.Second))
+				d.record.printf("client: %s gets %v", id, c.read(http.MethodPost, 3*time.Second))
 			}()
 		}
 		up.Wait()
@@ -79,7 +79,7 @@
 	peaks := stopMemory()
 	ends := 0
 	for _, n := range d.nodes {
-		d.record.printf("%s: highest resident memory %d MB, limit %d MB, killed for it %d times", n.name, peaks[n]>>20, d.memoryMB, n.ends)
+		d.record.printf("%s: highest anonymous memory %d MiB, limit %d MiB, killed for it %d times", n.name, peaks[n]>>20, d.memoryMB, n.ends)
 		ends += n.ends
 	}
 	lost := orders.check(d)
@@ -101,15 +101,15 @@
 			case <-time.After(5 * time.Millisecond):
 			}
 			for _, n := range d.nodes {
-				rss := n.rss()
-				peaks[n] = max(peaks[n], rss)
-				if rss > d.memoryMB*1_000_000 {
+				used := n.memory()
+				peaks[n] = max(peaks[n], used)
+				if used > d.memoryMB<<20 {
 					n.mu.Lock()
 					n.ends++
 					_ = n.cmd.Process.Signal(syscall.SIGKILL)
 					exited := n.exited
 					n.mu.Unlock()
-					d.record.printf("platform: %s is killed: its memory is %d MB, the limit is %d MB", n.name, rss/1_000_000, d.memoryMB)
+					d.record.printf("platform: %s is killed: its memory is %d MiB, the limit is %d MiB", n.name, used>>20, d.memoryMB)
 					<-exited
 				}
 			}
--- a/review/stand/long_request.go
+++ b/review/stand/long_request.go
@@ -12,6 +12,7 @@
 func longRequest(d *deployment, trouble bool) bool {
 	const here, studio = "lager", "befund"
 	const deadline, work = 3000 * time.Millisecond, 2300 * time.Millisecond
+	d.bounds.drain, d.bounds.retrySlack = 3*time.Second, 192
 	d.configure(3, []string{here, studio}, []route{{
 		Name: "r-photos", Host: "photos.example", Prefix: "/photos/", Kind: "upload",
 		TimeoutMS: 3000, TargetLatency: 1200, Priority: 1, Service: studio, Attempts: 2,
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -7,9 +7,15 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
+// timeLimit is how long a case may take.
+const timeLimit = 115 * time.Second
+
 func main() {
 	if len(os.Args) != 4 {
 		fmt.Fprintln(os.Stderr, "usage: stand CASE ROOT FOLDER")
@@ -28,6 +34,16 @@
 	}
 	rec := newRecord(filepath.Join(folder, "record.txt"))
 	trouble := os.Getenv("TROUBLE") != "0"
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		select {
+		case <-interrupted:
+			cannotRun("interrupted")
+		case <-time.After(timeLimit):
+			cannotRun("it takes longer than %v", timeLimit)
+		}
+	}()
 	rec.printf("case %s, TROUBLE=%v", os.Args[1], trouble)
 	d := newDeployment(root, dir, rec)
 	held := false
@@ -39,7 +55,7 @@
 	case "many-users":
 		held = manyUsers(d, trouble)
 	case "large-uploads":
-		held = largeUploads(d, trouble, 2, 50_000_000)
+		held = largeUploads(d, trouble, 2, 64_000_000)
 	default:
 		cannotRun("no such case: %s", os.Args[1])
 	}
--- a/review/stand/many_users.go
+++ b/review/stand/many_users.go
@@ -18,7 +18,11 @@
 		burstTime = 5 * time.Second
 		ackTime   = 4 * time.Second
 	)
-	raiseFileLimit(2*int(users*burst) + 500)
+	perNode := int(users*burst) + 500
+	stormed := min(2, fileLimit()/perNode)
+	if stormed == 0 {
+		cannotRun("%d descriptors are needed", perNode)
+	}
 	d.maxFds = 4100
 	d.configure(3, []string{service}, []route{{
 		Name: "r-prices", Host: "prices.example", Prefix: "/prices/", Kind: "idempotent",
@@ -79,7 +83,7 @@
 	report := func(what string) {
 		d.record.printf("clients, %s: %d requests served, %d failed since the last line", what, served.Swap(0), failed.Swap(0))
 	}
-	for _, n := range d.nodes {
+	for _, n := range d.nodes[:stormed] {
 		for i := range users {
 			wg.Add(1)
 			go user(n, time.Duration(i)*10*time.Second/users, stop)
@@ -92,7 +96,7 @@
 	}
 	if trouble {
 		d.record.printf("burst: %.1f times the users for %v", burst, burstTime)
-		for _, n := range d.nodes {
+		for _, n := range d.nodes[:stormed] {
 			for i := range int(users * (burst - 1)) {
 				wg.Add(1)
 				go user(n, time.Duration(i)*2*time.Second/users, over)
@@ -148,14 +152,16 @@
 	return false
 }
 
-// raiseFileLimit makes sure that this process may open n files.
-func raiseFileLimit(n int) {
+// fileLimit raises the number of files that this process may open as far as it may, and
+// returns it.
+func fileLimit() int {
 	var l syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l); err != nil {
 		cannotRun("%v", err)
 	}
 	l.Cur = l.Max
-	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &l); err != nil || l.Cur < uint64(n) {
-		cannotRun("%d descriptors are needed, the limit is %d", n, l.Cur)
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &l); err != nil {
+		cannotRun("%v", err)
 	}
+	return int(min(l.Cur, 1<<20))
 }
