--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the case many-users (../stand) and writes record.txt beside this file.
+# Plays the case late-heartbeats (../stand) and writes record.txt beside this file.
 # TROUBLE=0 plays the same without the disruption. Exit status: 1 the rule was broken,
 # 0 it held, 2 the case couldn't run. Before it: the build of the deploy file, ../build.sh.
 set -u
@@ -9,4 +9,4 @@
   [ -x "$program" ] || { echo "the case can't run: $program isn't built" >&2; exit 2; }
 done
 export TROUBLE="${TROUBLE:-1}"
-exec "$root/review/bin/stand" many-users "$root" "$folder"
+exec "$root/review/bin/stand" late-heartbeats "$root" "$folder"
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -52,8 +52,8 @@
 		held = lateHeartbeats(d, trouble)
 	case "long-request":
 		held = longRequest(d, trouble)
-	case "many-users":
-		held = manyUsers(d, trouble)
+	case "idle-connections":
+		held = idleConnections(d, trouble)
 	case "large-uploads":
 		held = largeUploads(d, trouble, 2, 64_000_000)
 	default:
