--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -283,6 +283,13 @@
 	n.start()
 }
 
+// startedAt returns when the process was started last.
+func (n *node) startedAt() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.started
+}
+
 func (n *node) signal(s syscall.Signal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/review/stand/large_uploads.go
+++ b/review/stand/large_uploads.go
@@ -122,6 +122,15 @@
 type lostOrders struct {
 	mu  sync.Mutex
 	ids []string
+	// unknown counts the orders that were answered with a status that promises nothing.
+	unknown int
+}
+
+// failedWithoutPromise returns the number of orders that failed and may have run.
+func (l *lostOrders) failedWithoutPromise() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.unknown + len(l.ids)
 }
 
 // keepOrdering sends one order after the other over a kept connection.
@@ -163,6 +172,11 @@
 			continue
 		}
 		answered++
+		if a.status == http.StatusBadGateway || a.status == http.StatusGatewayTimeout {
+			l.mu.Lock()
+			l.unknown++
+			l.mu.Unlock()
+		}
 	}
 }
 
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -54,6 +54,8 @@
 		held = longRequest(d, trouble)
 	case "idle-connections":
 		held = idleConnections(d, trouble)
+	case "crashing-request":
+		held = crashingRequest(d, trouble)
 	case "large-uploads":
 		held = largeUploads(d, trouble, 2, 64_000_000)
 	default:
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -33,6 +33,10 @@
 	beatDelay func(sequence int) time.Duration
 	// announces is set while the worker sends heartbeats.
 	announces bool
+	// crashes reports whether a request crashes the worker, and onCrash is called when one
+	// does.
+	crashes func(r *http.Request) bool
+	onCrash func(id string)
 }
 
 // run is a request that the worker began to work on.
@@ -50,15 +54,48 @@
 		beatDelay: func(int) time.Duration { return 0 },
 	}
 	w.instance = fmt.Sprintf("i-%s-%d", n.name, w.born)
-	l, err := net.Listen("tcp", n.application)
+	w.listen()
+	n.worker = w
+	go w.announce()
+	return w
+}
+
+func (w *worker) listen() {
+	l, err := net.Listen("tcp", w.n.application)
 	if err != nil {
 		cannotRun("%v", err)
 	}
 	w.server = &http.Server{Handler: w}
 	go func() { _ = w.server.Serve(l) }()
-	n.worker = w
-	go w.announce()
-	return w
+}
+
+// downTime is how long a worker that has crashed is down.
+const downTime = 2 * time.Second
+
+// crash ends the worker at once. It is back after some seconds as a new incarnation.
+func (w *worker) crash(id string) {
+	w.mu.Lock()
+	if !w.announces {
+		w.mu.Unlock()
+		return
+	}
+	w.announces = false
+	server := w.server
+	w.mu.Unlock()
+	w.n.d.record.printf("worker %s: %s crashes it", w.n.name, id)
+	w.onCrash(id)
+	_ = server.Close()
+	go func() {
+		time.Sleep(downTime)
+		w.mu.Lock()
+		w.born = time.Now().UnixMilli()
+		w.instance = fmt.Sprintf("i-%s-%d", w.n.name, w.born)
+		w.sequence, w.running, w.announces = 0, 0, true
+		w.mu.Unlock()
+		w.listen()
+		w.n.d.record.printf("worker %s: is back as %s", w.n.name, w.instance)
+		w.beat()
+	}()
 }
 
 // announce sends heartbeats until the worker ends.
@@ -180,6 +217,10 @@
 		out.WriteHeader(status)
 		return
 	}
+	if w.crashes != nil && w.crashes(r) {
+		w.crash(id)
+		panic(http.ErrAbortHandler)
+	}
 	ms, _ := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
 	w.n.d.record.printf("worker %s: runs %s (%d bytes, deadline %d ms)", w.n.name, id, len(body), ms)
 	how := "done"
@@ -194,7 +235,7 @@
 	}
 	cancel()
 	w.mu.Lock()
-	w.running--
+	w.running = max(0, w.running-1)
 	x := w.runs[id]
 	x.ended, x.how = w.n.d.record.now(), how
 	w.runs[id] = x
