--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -162,7 +162,7 @@
 		"version": version, "routes": routes, "services": listed,
 		"limits": map[string]int{"max_header_bytes": 16384, "max_body_bytes": maxBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
-	resp, err := http.Post("http://"+d.store+"/admin/operate?key=op/config", "application/json", bytes.NewReader(body))
+	resp, err := http.Post("http://"+d.store+"/admin/operate?key="+names["config"], "application/json", bytes.NewReader(body))
 	if err != nil || resp.StatusCode != http.StatusOK {
 		cannotRun("write the configuration: %v %v", resp, err)
 	}
@@ -377,7 +377,7 @@
 	if a.err != nil {
 		return "no answer: " + a.err.Error()
 	}
-	return fmt.Sprintf("%d, seal %q, %d bytes", a.status, a.header.Get("X-Server-Seal"), len(a.body))
+	return fmt.Sprintf("%d, seal %q, %d bytes", a.status, a.header.Get(names["seal"]), len(a.body))
 }
 
 // conn is a kept connection of a client.
@@ -396,7 +396,8 @@
 
 // send writes a request whole.
 func (c *conn) send(method, host, uri, id string, deadline time.Duration, body []byte) error {
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n", method, uri, host, id, deadline/time.Millisecond)
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", method, uri, host,
+		names["attemptID"], id, names["deadline"], deadline/time.Millisecond)
 	if method != http.MethodGet {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
--- a/review/stand/long_request.go
+++ b/review/stand/long_request.go
@@ -89,7 +89,7 @@
 			atWork := ran && (x.ended == 0 || x.ended >= end-20*time.Millisecond)
 			excused := end-began >= deadline || // the deadline was reached
 				(atWork && end-terminated >= d.bounds.grace*5/6 && whole-terminated <= 3*time.Second)
-			own := a.err == nil && a.header.Get("X-Server-Seal") == "" && atWork
+			own := a.err == nil && a.header.Get(names["seal"]) == "" && atWork
 			if trouble && ran && (a.err != nil || own) && !excused {
 				mu.Lock()
 				defer mu.Unlock()
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -179,22 +179,22 @@
 	w.mu.Lock()
 	running, leaving := w.running, w.state != "ready"
 	w.mu.Unlock()
-	out.Header().Set("X-Server-Load", fmt.Sprintf("%d,0,%d,100", running, w.slots))
+	out.Header().Set(names["load"], fmt.Sprintf("%d,0,%d,100", running, w.slots))
 	out.Header().Set("Keep-Alive", "timeout=10")
 	if r.URL.Path == healthPath {
-		out.Header().Set("X-Instance-Id", w.instance)
+		out.Header().Set(names["instanceID"], w.instance)
 		if leaving {
 			out.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
 	}
-	id := r.Header.Get("X-Attempt-Id")
+	id := r.Header.Get(names["attemptID"])
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	out.Header().Set("X-Attempt-Id", id)
-	expected := r.Header.Get("X-Expect-Instance")
+	out.Header().Set(names["attemptID"], id)
+	expected := r.Header.Get(names["expectInstance"])
 	w.mu.Lock()
 	status := 0
 	switch {
@@ -212,8 +212,8 @@
 	}
 	w.mu.Unlock()
 	if status != 0 {
-		out.Header().Set("X-Instance-Id", w.instance)
-		out.Header().Set("X-Not-Executed", "1")
+		out.Header().Set(names["instanceID"], w.instance)
+		out.Header().Set(names["notExecuted"], "1")
 		out.WriteHeader(status)
 		return
 	}
@@ -221,7 +221,7 @@
 		w.crash(id)
 		panic(http.ErrAbortHandler)
 	}
-	ms, _ := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
+	ms, _ := strconv.Atoi(r.Header.Get(names["deadline"]))
 	w.n.d.record.printf("worker %s: runs %s (%d bytes, deadline %d ms)", w.n.name, id, len(body), ms)
 	how := "done"
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
@@ -244,7 +244,7 @@
 	}
 	w.mu.Unlock()
 	w.n.d.record.printf("worker %s: its work on %s ends: %s", w.n.name, id, how)
-	out.Header().Set("X-Server-Seal", w.instance+"."+id)
+	out.Header().Set(names["seal"], w.instance+"."+id)
 	if how == "deadline" {
 		out.WriteHeader(http.StatusGatewayTimeout)
 		return
