core/process/dfustop: refuse requests that a planned stop would cut off

Cause: requests were accepted for 60 % of the grace time whatever their deadline; 32 % are left until the cut.

Change: dfustop.Schedule holds the times of a stop. After the first third of the grace time, in which callers can't have moved, a request is accepted only if its deadline ends before the cut; any other is refused as not run with a Retry-After. The gate does the same with offers of other nodes, whose requests ended with 502 before. Nothing that is accepted after the first third can outlast the node, so nothing is left to be cut.

--- a/core/request/dfugate/event.go
+++ b/core/request/dfugate/event.go
@@ -3,6 +3,7 @@
 import (
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/process/dfustop"
 	"dragonflyusher/core/request/dfucrash"
 	"dragonflyusher/core/request/dfuoutcome"
 )
@@ -156,6 +157,12 @@
 // DrainCanceled ends draining.
 type DrainCanceled struct{}
 
+// StopScheduled reports that the node has begun a planned stop. Requests that could
+// still run when the node ends are refused.
+type StopScheduled struct {
+	Schedule dfustop.Schedule
+}
+
 // FingerprintBanned reports that a peer has banned a fingerprint.
 type FingerprintBanned struct {
 	Fingerprint dfucrash.Fingerprint
@@ -191,6 +198,7 @@
 func (LimitsChanged) event()         {}
 func (DrainRequested) event()        {}
 func (DrainCanceled) event()         {}
+func (StopScheduled) event()         {}
 func (FingerprintBanned) event()     {}
 func (FingerprintCleared) event()    {}
 func (PeerCrashed) event()           {}
--- a/core/request/dfugate/machine.go
+++ b/core/request/dfugate/machine.go
@@ -6,6 +6,7 @@
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuheap"
 	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/process/dfustop"
 	"dragonflyusher/core/request/dfucrash"
 	"dragonflyusher/core/request/dfuoutcome"
 )
@@ -103,6 +104,7 @@
 
 	draining bool
 	drained  bool
+	stop     dfustop.Schedule
 	arrivals uint64
 	sequence uint32
 	actions  []Action
@@ -234,6 +236,8 @@
 		m.refuseWaiting(dfuoutcome.ReasonDraining)
 	case DrainCanceled:
 		m.draining, m.drained = false, false
+	case StopScheduled:
+		m.stop = e.Schedule
 	case FingerprintBanned:
 		m.crash.Ban(now, e.Fingerprint, e.For)
 	case FingerprintCleared:
--- a/core/request/session_test.go
+++ b/core/request/session_test.go
@@ -132,7 +132,7 @@
 	dfugate.TargetLoadReported{}, dfugate.TargetLoadUnavailable{}, dfugate.TargetAnnounced{}, dfugate.TargetWithdrawn{},
 	dfugate.TargetCrashed{},
 	dfugate.ClaimGranted{}, dfugate.ClaimDenied{}, dfugate.LimitsChanged{}, dfugate.DrainRequested{},
-	dfugate.DrainCanceled{}, dfugate.FingerprintBanned{}, dfugate.FingerprintCleared{},
+	dfugate.DrainCanceled{}, dfugate.StopScheduled{}, dfugate.FingerprintBanned{}, dfugate.FingerprintCleared{},
 	dfugate.PeerCrashed{}, dfugate.Tick{},
 )
 
--- a/io/process/dfunode/leave.go
+++ b/io/process/dfunode/leave.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfustop"
+	"dragonflyusher/core/request/dfugate"
 	"dragonflyusher/io/process/dfucontrol"
 
 	"github.com/cockroachdb/errors"
@@ -20,13 +22,6 @@
 	// leaveGossipTime is how long a stopping node keeps running to announce to the
 	// other nodes that it has left.
 	leaveGossipTime = 1500 * time.Millisecond
-	// acceptPercent is the share of the grace period in which callers are still
-	// accepted: they are moved to other nodes only after this node has failed two
-	// readiness checks, a second apart.
-	acceptPercent = 60
-	// finishPercent is the share of the grace period after which the node no longer
-	// waits for requests in progress.
-	finishPercent = 92
 )
 
 // leave drains the target, announces that the node has left and closes the HTTP
@@ -50,15 +45,20 @@
 
 // leaveWithinGrace is leave for a process that is killed after a grace period. For
 // the first part of the period the node still accepts callers and requests for its
-// target. Requests in progress are cut off only shortly before the period ends.
+// target that end within the period. Requests in progress are cut off only shortly
+// before the period ends.
 func (n *Node) leaveWithinGrace(c *components, grace dfuclock.Duration) error {
-	began := time.Now()
-	time.Sleep(grace.Std() * acceptPercent / 100)
+	schedule := dfustop.Schedule{Began: n.clock.Now(), Grace: grace}
+	if c != nil {
+		c.dispatcher.ScheduleStop(schedule)
+		c.gate.Notify(dfugate.StopScheduled{Schedule: schedule})
+	}
+	time.Sleep(schedule.CloseAt().Sub(n.clock.Now()).Std())
 	if c != nil {
 		c.target.stop()
 		n.control.Announce(dfucontrol.Announcement{Left: true})
 	}
-	deadline := began.Add(grace.Std() * finishPercent / 100)
+	deadline := time.Now().Add(schedule.EndAt().Sub(n.clock.Now()).Std())
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	err := n.callerServer.Close(ctx)
--- a/io/request/dfudispatch/admit.go
+++ b/io/request/dfudispatch/admit.go
@@ -82,7 +82,7 @@
 	}
 	call.Remaining = min(call.Remaining, entry.Limits.Deadline)
 	r := &request{call: call, event: d.arrivedEvent(call, entry)}
-	if call.ParentRequest != "" && d.deps.IsRunning(call.ParentRequest) {
+	if d.isNested(call) {
 		r.event.Nested = true
 		r.event.Class = 0
 		r.event.Objective = 0
--- a/io/request/dfudispatch/dispatcher.go
+++ b/io/request/dfudispatch/dispatcher.go
@@ -11,6 +11,7 @@
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuhistogram"
 	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/process/dfustop"
 	"dragonflyusher/core/request/dfuattempt"
 	"dragonflyusher/core/request/dfuoutcome"
 	"dragonflyusher/core/request/dfureturn"
@@ -84,6 +85,8 @@
 type Dispatcher struct {
 	deps Deps
 	view atomic.Pointer[dfuroster.View]
+	// stop is the schedule of the node's planned stop, or nil.
+	stop atomic.Pointer[dfustop.Schedule]
 	// lastRequest is the number of the newest request.
 	lastRequest atomic.Uint64
 	outcomes    map[dfuoutcome.Outcome]metrics.Counter
--- a/io/request/dfudispatch/serve.go
+++ b/io/request/dfudispatch/serve.go
@@ -87,6 +87,9 @@
 	if refused := d.route(call); refused != nil {
 		return *refused
 	}
+	if refused := d.refuseBeforeStop(*call); refused != nil {
+		return *refused
+	}
 	start := d.deps.Clock.Now()
 	deadline := start.Add(call.Remaining)
 	priorWait := call.Waited
