core/version/dfuinstance: confirm no run by late announcements

Cause: a node that starts again has lost the departure. The Confirmer took a second announcement, or one with sequence 1, as proof that the target was in service, although the check of the target had just failed. Both can be late.

Change: for 30 s after the node's start an unknown run takes effect only by a check of the target that passes; the check is repeated while the announcement is valid. Later no announcement from before the start can arrive, and the node knows each departure that it acknowledged, so that the former rules hold.

--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -22,6 +22,7 @@
 	"dragonflyusher/core/request/dfuclaim"
 	"dragonflyusher/core/request/dfugate"
 	"dragonflyusher/core/request/dfuoutcome"
+	"dragonflyusher/core/version/dfuinstance"
 	"dragonflyusher/core/version/dfuroster"
 	"dragonflyusher/io/connection/dfufront"
 	"dragonflyusher/io/connection/dfupeer"
@@ -431,6 +432,7 @@
 		clock:          n.clock,
 		log:            n.log,
 		gate:           gate,
+		confirmer:      dfuinstance.NewConfirmer(n.clock.Now()),
 		advertise:      n.advertiseTarget,
 		healthPath:     n.healthPath,
 		targetSettings: func() dfusettings.Target { return n.latest.Load().Target },
--- a/io/process/dfunode/target.go
+++ b/io/process/dfunode/target.go
@@ -87,7 +87,7 @@
 	healthPath func() string
 
 	mu        sync.Mutex
-	confirmer dfuinstance.Confirmer
+	confirmer *dfuinstance.Confirmer
 	tracker   dfuinstance.Tracker
 	// present is set while current, the newest announcement, is neither withdrawn
 	// nor expired.
@@ -117,7 +117,7 @@
 func (t *localTarget) applyAnnouncement(a dfuinstance.Announcement) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.confirmer.Check(a) {
+	if t.confirmer.Check(t.clock.Now(), a) {
 		t.apply(a, 0)
 		return
 	}
@@ -132,29 +132,48 @@
 	// healthPathPollPeriod is how often a check that waits for the routes looks for
 	// the path.
 	healthPathPollPeriod = 20 * time.Millisecond
+	// healthCheckPeriod is how long after a failed check the target is checked again.
+	healthCheckPeriod = 500 * time.Millisecond
 )
 
-// confirm checks the target and then applies its announcement, unless another one has
-// taken its place.
+// confirm checks the target until a check passes, and then applies its announcement. It
+// gives up when a later announcement has taken its place or it has expired.
 func (t *localTarget) confirm(a dfuinstance.Announcement) {
+	expiry := time.Now().Add(t.announcementTTL().Std())
 	path := t.healthPath()
-	for end := time.Now().Add(t.announcementTTL().Std()); path == "" && time.Now().Before(end); path = t.healthPath() {
+	for ; path == "" && time.Now().Before(expiry); path = t.healthPath() {
 		time.Sleep(healthPathPollPeriod)
 	}
+	for !t.checkAndApply(a, path) && time.Now().Before(expiry) {
+		time.Sleep(healthCheckPeriod)
+	}
+}
+
+// checkAndApply checks the target and applies its announcement if the check passes. It
+// reports whether no further check is needed.
+func (t *localTarget) checkAndApply(a dfuinstance.Announcement, path string) bool {
+	t.mu.Lock()
+	isPending := t.confirmer.IsPending(a)
+	t.mu.Unlock()
+	if !isPending {
+		return true
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), healthCheckTimeout)
 	defer cancel()
 	client := dfutarget.New(t.clientConfig(a))
 	defer client.Close()
 	health, err := client.CheckHealth(ctx, path)
 	if !health.InService {
-		t.log.Warn("target not confirmed", zap.String("instance", string(a.Instance)), zap.Error(err))
-		return
+		t.log.Warn("target not confirmed", zap.String("instance", string(a.Instance)),
+			zap.Uint64("sequence", a.Sequence), zap.Error(err))
+		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.confirmer.Confirm(a) {
 		t.apply(a, health.Limit)
 	}
+	return true
 }
 
 // clientConfig returns the configuration of a client for the announced target.
--- a/io/process/dfunode/target_test.go
+++ b/io/process/dfunode/target_test.go
@@ -54,6 +54,9 @@
 	return localTargetFixture{
 		localTarget: &localTarget{
 			self: self, clock: clock, log: zap.NewNop(), gate: gate,
+			// No announcement can be late any more.
+			confirmer: dfuinstance.NewConfirmer(clock.Now().Add(-dfuclock.Minute)),
+
 			cfg:            dfutarget.Config{AnswerLimit: 1 << 20, IdleLimit: 8, IdleTime: dfuclock.Second, Dialect: dfutarget.Native{}},
 			targetSettings: func() dfusettings.Target { return dfusettings.Target{} },
 			advertise:      func(advertisedTarget) {},
