io/connection/dfupeer: send the replies of ended calls before a server closes

What callers saw: 504 or 502 of the entry node for a request that had run, around the planned stop of the target's node.

Cause: Server.Close closed its connections at once. A stopping node closes as soon as its gate has no run left, which is before the reply is written; unread calls of the peer reset the connection even then.

Change: Close serves calls for 50 ms more, waits for the replies, closes the sending side and reads on before it closes a connection; the end of the stop bounds it. A calling node closes a link whose reading side has ended.

--- a/io/connection/dfupeer/bench_test.go
+++ b/io/connection/dfupeer/bench_test.go
@@ -1,6 +1,7 @@
 package dfupeer
 
 import (
+	"context"
 	"net"
 	"testing"
 
@@ -86,7 +87,7 @@
 	pool := NewPool(DefaultTiming(), net.IPv4(127, 0, 0, 1))
 	b.Cleanup(func() {
 		pool.Close()
-		server.Close()
+		server.Close(context.Background())
 	})
 	return pool, dfuident.Address(listener.Addr().String())
 }
--- a/io/connection/dfupeer/failure_test.go
+++ b/io/connection/dfupeer/failure_test.go
@@ -145,7 +145,7 @@
 		}
 		b.net.mu.Unlock()
 		close(b.echo.release)
-		server.Close()
+		server.Close(context.Background())
 		b.net.wg.Wait()
 		wg.Wait()
 	})
@@ -415,6 +415,6 @@
 	to := dfuident.Address(server.listener.Addr().String())
 	is.NoErr(p.Call(ctx, to, Control, "Liveness.Ping", struct{}{}, &struct{}{}))
 	p.Close()
-	server.Close()
+	server.Close(context.Background())
 	wg.Wait()
 }
--- a/io/connection/dfupeer/link.go
+++ b/io/connection/dfupeer/link.go
@@ -71,7 +71,8 @@
 	traffic   *Traffic
 }
 
-// Read reads from the connection and records the time.
+// Read reads from the connection and records the time. It closes the connection if that
+// fails.
 func (c *countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
@@ -79,7 +80,9 @@
 		c.traffic.Read.Add(int64(n))
 	}
 	if err != nil {
+		// net/rpc reads no further and leaves the connection open.
 		c.failed.Store(true)
+		c.Close()
 	}
 	return n, err
 }
--- a/io/connection/dfupeer/memory_test.go
+++ b/io/connection/dfupeer/memory_test.go
@@ -31,7 +31,7 @@
 		for _, p := range pools {
 			p.Close()
 		}
-		server.Close()
+		server.Close(context.Background())
 	}
 }
 
--- a/io/connection/dfupeer/server.go
+++ b/io/connection/dfupeer/server.go
@@ -1,6 +1,8 @@
 package dfupeer
 
 import (
+	"context"
+	"io"
 	"net"
 	"net/rpc"
 	"sync"
@@ -65,24 +67,60 @@
 		}
 		s.wg.Go(func() {
 			defer s.untrack(conn)
-			s.rpc.ServeConn(&messageLimit{Conn: conn})
+			s.rpc.ServeConn(&messageLimit{Conn: &lingeringConn{Conn: conn}})
 		})
 	}
 }
 
-// Close stops accepting connections, closes every connection and waits until the
-// calls in progress have returned.
-func (s *Server) Close() {
+const (
+	// lastCallTime is how long a closing server still serves calls, which peers may have
+	// sent before they learned that the node has left.
+	lastCallTime = 50 * time.Millisecond
+	// lingerTime is how long a connection is read after its last reply. Closing a
+	// connection with unread input resets it, and the peer may then lose the reply.
+	lingerTime = 100 * time.Millisecond
+)
+
+// lingeringConn is a connection whose Close delivers what was written before.
+type lingeringConn struct {
+	net.Conn
+}
+
+// Close closes the sending side, discards the input until the peer closes the connection or
+// lingerTime is over, and then closes the connection.
+func (c *lingeringConn) Close() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+		_, _ = io.Copy(io.Discard, struct{ io.Reader }{c.Conn})
+	}
+	return c.Conn.Close()
+}
+
+// Close stops accepting connections and closes each one when the replies of its calls have
+// been sent. When ctx is done it closes those that are left. It waits until the calls in
+// progress have returned.
+func (s *Server) Close(ctx context.Context) {
 	s.listener.Close()
 	s.mu.Lock()
 	s.closed = true
 	for conn := range s.conns {
-		conn.Close()
+		_ = conn.SetReadDeadline(time.Now().Add(lastCallTime))
 	}
 	s.mu.Unlock()
+	stop := context.AfterFunc(ctx, s.closeConns)
+	defer stop()
 	s.wg.Wait()
 }
 
+// closeConns closes every connection without waiting for replies.
+func (s *Server) closeConns() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		conn.Close()
+	}
+}
+
 func (s *Server) track(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/process/dfunode/crash_reports_test.go
+++ b/io/process/dfunode/crash_reports_test.go
@@ -40,7 +40,7 @@
 	receiver := &newsReceiver{reports: make(chan News, 8)}
 	is.NoErr(server.Register("Gate", receiver))
 	go server.Run()
-	t.Cleanup(server.Close)
+	t.Cleanup(func() { server.Close(context.Background()) })
 	return receiver, dfuident.Address(l.Addr().String())
 }
 
--- a/io/process/dfunode/leave.go
+++ b/io/process/dfunode/leave.go
@@ -19,18 +19,28 @@
 	drainPollPeriod = 20 * time.Millisecond
 	// claimHandoverTimeout bounds the handover of claims by a stopping node.
 	claimHandoverTimeout = 2 * time.Second
+	// minLinkCloseTime is how long the links to other nodes stay open at least, to send
+	// the replies of the last requests. unlimitedLinkCloseTime applies to a node without a
+	// grace period.
+	minLinkCloseTime       = 200 * time.Millisecond
+	unlimitedLinkCloseTime = 2 * time.Second
 	// leaveGossipTime is how long a stopping node keeps running to announce to the
 	// other nodes that it has left.
 	leaveGossipTime = 1500 * time.Millisecond
 )
 
 // leave drains the target, announces that the node has left and closes the HTTP
-// server for callers. c is nil if the node has not joined.
-func (n *Node) leave(c *components) error {
+// server for callers. c is nil if the node has not joined. It returns the time at which
+// the links to other nodes have to be closed.
+func (n *Node) leave(c *components) (time.Time, error) {
 	latest := n.latest.Load()
 	n.log.Info("stopping", zap.Stringer("grace", latest.Stop.Grace.Duration()))
 	if latest.Stop.Grace > 0 {
-		return n.leaveWithinGrace(c, latest.Stop.Grace.Duration())
+		end, err := n.leaveWithinGrace(c, latest.Stop.Grace.Duration())
+		if earliest := time.Now().Add(minLinkCloseTime); end.Before(earliest) {
+			end = earliest
+		}
+		return end, err
 	}
 	if c != nil {
 		c.target.stop()
@@ -40,14 +50,15 @@
 		time.Sleep(leaveGossipTime)
 		n.log.Info("left", zap.Stringer("member", c.self))
 	}
-	return n.callerServer.Close(context.Background())
+	err := n.callerServer.Close(context.Background())
+	return time.Now().Add(unlimitedLinkCloseTime), err
 }
 
 // leaveWithinGrace is leave for a process that is killed after a grace period. For
 // the first part of the period the node still accepts callers and requests for its
 // target that end within the period. Requests in progress are cut off only shortly
-// before the period ends.
-func (n *Node) leaveWithinGrace(c *components, grace dfuclock.Duration) error {
+// before the period ends, at the time that is returned.
+func (n *Node) leaveWithinGrace(c *components, grace dfuclock.Duration) (time.Time, error) {
 	schedule := dfustop.Schedule{Began: n.clock.Now(), Grace: grace}
 	if c != nil {
 		c.dispatcher.ScheduleStop(schedule)
@@ -70,7 +81,7 @@
 		n.awaitDrained(c, deadline)
 		n.log.Info("left", zap.Stringer("member", c.self))
 	}
-	return err
+	return deadline, err
 }
 
 // awaitDrained waits until the target has no request in progress, at the longest
--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -210,14 +210,17 @@
 	}
 	n.stopping.Store(true)
 	n.callerServer.CloseConnections()
-	err = errors.CombineErrors(err, n.leave(c))
+	closeLinksAt, leaveErr := n.leave(c)
+	err = errors.CombineErrors(err, leaveErr)
 	if c != nil {
 		c.dispatcher.Close()
 		c.gate.Close()
 	}
 	cancel()
 	err = errors.CombineErrors(err, n.closeAdmin())
-	n.server.Close()
+	closeCtx, cancelClose := context.WithDeadline(context.Background(), closeLinksAt)
+	n.server.Close(closeCtx)
+	cancelClose()
 	n.pool.Close()
 	wg.Wait()
 	return errors.CombineErrors(err, n.tracer.Close(context.Background()))
--- a/io/request/dfuclaimer/claimer_test.go
+++ b/io/request/dfuclaimer/claimer_test.go
@@ -124,7 +124,7 @@
 		wg.Go(func() {
 			c.Run(ctx)
 			pool.Close()
-			server.Close()
+			server.Close(context.Background())
 		})
 	}
 	f.setState("", "")
