io/process/dfucontrol: decode each entry of a zone page by itself

What operators of other systems saw: one odd entry in a list of workers (nested deeply, a number too large, a port out of range) and the machines that read the list ended again and again, or stopped following it.

Cause here: a zone page was decoded at once, so that one odd entry hid all others.

Change: dfudecode.Elements splits the array without decoding it; each entry is decoded and checked by itself, and the next write of the page removes the invalid ones.

--- a/io/process/dfucontrol/page.go
+++ b/io/process/dfucontrol/page.go
@@ -5,10 +5,14 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"net/netip"
 	"slices"
+	"strconv"
 	"time"
 
 	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfudecode"
+	"dragonflyusher/core/process/dfufinding"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/process/dfumembership"
 	"dragonflyusher/core/version/dfuroster"
@@ -167,8 +171,8 @@
 	return seeds
 }
 
-// readPages returns the nodes of the pages under a prefix. Pages that can't be
-// decoded are logged and ignored. The result may be seconds old.
+// readPages returns the nodes of the pages under a prefix. Pages and entries that can't
+// be decoded are logged and ignored. The result may be seconds old.
 func (c *Controller) readPages(ctx context.Context, prefix string) ([]pageNode, error) {
 	records, _, err := c.deps.Store.ListStale(ctx, prefix)
 	if err != nil {
@@ -182,22 +186,55 @@
 		}
 		page, err := decodePage(r)
 		if err != nil {
-			c.deps.Log.Warn("ignoring invalid zone page", zap.String("key", r.Key), zap.Error(err))
+			c.deps.Log.Warn("ignoring what is invalid on a zone page", zap.String("key", r.Key), zap.Error(err))
 		}
 		nodes = append(nodes, page...)
 	}
 	return nodes, nil
 }
 
+// decodePage returns the valid nodes of a zone page, and an error that lists the entries
+// that are not.
 func decodePage(r dfustore.Record) ([]pageNode, error) {
 	if !r.Exists() {
 		return nil, nil
 	}
-	var page []pageNode
-	if err := json.Unmarshal(r.Value, &page); err != nil {
+	entries, err := dfudecode.Elements(r.Value)
+	if err != nil {
 		return nil, errors.Wrap(err, "decode zone page")
 	}
-	return page, nil
+	var page []pageNode
+	var findings dfufinding.List
+	for i, entry := range entries {
+		n, err := decodePageNode(entry)
+		if err != nil {
+			findings.Add("["+strconv.Itoa(i)+"]", "%s", err.Error())
+			continue
+		}
+		page = append(page, n)
+	}
+	return page, findings.Err()
+}
+
+// maxIncarnation is above the Unix time in milliseconds at which any node starts. A greater
+// value could be raised no further.
+const maxIncarnation dfuident.Incarnation = 1 << 42
+
+func decodePageNode(entry []byte) (pageNode, error) {
+	var n pageNode
+	if err := json.Unmarshal(entry, &n); err != nil {
+		return pageNode{}, err
+	}
+	if n.Node == "" || n.Place.Region == "" || n.Place.Zone == "" {
+		return pageNode{}, errors.New("must have a node, a region and a zone")
+	}
+	if n.Incarnation > maxIncarnation {
+		return pageNode{}, errors.Newf("incarnation must be at most %d, got %d", maxIncarnation, n.Incarnation)
+	}
+	if _, err := netip.ParseAddrPort(string(n.Peer)); err != nil {
+		return pageNode{}, errors.Newf("peer is %q, must be an IP address with a port", n.Peer)
+	}
+	return n, nil
 }
 
 // maintainPage waits until the node is on its zone page. After that, while the node is
@@ -410,9 +447,9 @@
 		return false, err
 	}
 	c.recordStoreSuccess()
-	page, err := decodePage(record)
-	if err != nil {
-		c.deps.Log.Warn("replacing invalid zone page", zap.String("key", key), zap.Error(err))
+	page, invalid := decodePage(record)
+	if invalid != nil {
+		c.deps.Log.Warn("removing what is invalid on the zone page", zap.String("key", key), zap.Error(invalid))
 	}
 	c.inbox.Offer(input{event: dfuroster.SeedsListed{Seeds: seedsOf(page)}})
 	if skip != nil && skip(page) {
@@ -421,7 +458,7 @@
 	view := c.View()
 	expired := absent.expire(page, view, c.deps.Clock.Now(), c.cfg.Membership.DeadRetention)
 	next := mergePage(page, view, c.cfg.Place, expired)
-	if slices.Equal(page, next) {
+	if invalid == nil && slices.Equal(page, next) {
 		c.lastPage = page
 		return true, nil
 	}
