io/process/dfunode: refuse announcements with impossible numbers

What callers would see: a target that gets no request until its node starts again.

Cause: an announcement of another writer with a start time or a sequence far ahead was accepted, and made each later announcement of the target and of its next runs outdated.

Change: a start time more than an hour ahead, a sequence above 1e9 and a warm-up of more than an hour are refused with 400.

--- a/io/process/dfunode/instance.go
+++ b/io/process/dfunode/instance.go
@@ -21,8 +21,16 @@
 	stateDraining = "draining"
 )
 
-// maxSlots is the largest number of slots that an instance may announce.
-const maxSlots = 100_000
+// The greatest values that an instance may announce. An announcement beyond them comes from
+// another writer; once accepted, it would make those of the target outdated.
+const (
+	maxSlots    = 100_000
+	maxSequence = 1_000_000_000
+	maxCold     = dfuclock.Hour
+	// maxClockLead is how far the start time may be ahead of the node's clock, which may
+	// have been set back since.
+	maxClockLead = dfuclock.Hour
+)
 
 // instanceRequest is the body of PUT /dragonflyusher/targets/INSTANCE. A pointer
 // is nil if the field is missing.
@@ -37,9 +45,9 @@
 	Cold     dfuclock.Duration  `json:"cold_remaining_ms"`
 }
 
-// parseInstance decodes and checks an announcement of an instance. The error
-// lists every invalid or missing field.
-func parseInstance(instance dfuident.Instance, data []byte) (dfuinstance.Announcement, error) {
+// parseInstance decodes and checks an announcement of an instance that arrives at the
+// time now. The error lists every invalid or missing field.
+func parseInstance(instance dfuident.Instance, data []byte, now dfuinstance.UnixMs) (dfuinstance.Announcement, error) {
 	var f instanceRequest
 	if err := json.Unmarshal(data, &f); err != nil {
 		return dfuinstance.Announcement{}, errors.Wrap(err, "decode announcement")
@@ -64,9 +72,14 @@
 	}
 	if f.Sequence == nil {
 		findings.Add("sequence", "must be given")
+	} else if *f.Sequence > maxSequence {
+		findings.Add("sequence", "must be at most %d", maxSequence)
+	}
+	if latest := now + dfuinstance.UnixMs(maxClockLead); f.Born < 0 || f.Born > latest {
+		findings.Add("born", "must be 0 to %d", latest)
 	}
-	if f.Cold < 0 {
-		findings.Add("cold_remaining_ms", "must not be negative")
+	if f.Cold < 0 || f.Cold > maxCold {
+		findings.Add("cold_remaining_ms", "must be 0 to %d", maxCold)
 	}
 	if err := findings.Err(); err != nil {
 		return dfuinstance.Announcement{}, err
@@ -87,9 +100,10 @@
 // response without an error means that this node has applied the request, ignored it
 // as outdated, or checks the target before it applies it.
 func (t *localTarget) handleInstance(ctx *fasthttp.RequestCtx, instance dfuident.Instance) {
+	now := dfuinstance.UnixMs(time.Now().UnixMilli())
 	switch {
 	case ctx.IsPut():
-		a, err := parseInstance(instance, ctx.PostBody())
+		a, err := parseInstance(instance, ctx.PostBody(), now)
 		if err == nil {
 			err = t.checkSettings(a)
 		}
@@ -101,7 +115,7 @@
 		t.applyAnnouncement(a)
 		writeJSON(ctx, struct{}{})
 	case ctx.IsDelete():
-		t.removeInstance(instance, dfuinstance.UnixMs(time.Now().UnixMilli()))
+		t.removeInstance(instance, now)
 		writeJSON(ctx, struct{}{})
 	default:
 		writeError(ctx, fasthttp.StatusMethodNotAllowed, errors.New("method not allowed: use PUT or DELETE"))
