io/connection/dfutarget: test endless bytes of an answer without a length

A report of other operators: bytes that are no answer, without end, in a head or in a body, used up the memory of the machine that had called. It can't happen here: an answer has a size limit, and large answers share a bounded memory. The new case passes without a change of the code.

--- a/io/connection/dfutarget/endless_test.go
+++ b/io/connection/dfutarget/endless_test.go
@@ -72,6 +72,12 @@
 	}
 }
 
+// untilClose is a dialect whose responses may end with their connection.
+type untilClose struct{ Native }
+
+// AllowsUntilClose implements Dialect.
+func (untilClose) AllowsUntilClose() bool { return true }
+
 // peakHeap samples the heap until stop is called, which returns the largest growth.
 func peakHeap() (stop func() uint64) {
 	runtime.GC()
@@ -124,6 +130,7 @@
 		{"one trailer", "GET", chunked + "0\r\nA: ", "b", 0},
 		{"length too large", "GET", ok + "Content-Length: 999999999999\r\n\r\n", "b", 0},
 		{"length within the limit", "GET", ok + "Content-Length: 8388608\r\n\r\n", "b", 200},
+		{"until close", "GET", ok + "\r\n", "b", 0},
 		{"beyond the length", "GET", ok + "Content-Length: 1\r\n\r\n", "b", 200},
 		{"after 204", "GET", "HTTP/1.1 204 No Content\r\n\r\n", "b", 204},
 		{"after 304", "GET", "HTTP/1.1 304 Not Modified\r\n\r\n", "b", 304},
@@ -139,7 +146,7 @@
 				conns.Go(func() { endlessTarget{c.start, c.unit, pause, &conns}.serve(l) })
 				client := New(Config{
 					Address: dfuident.Address(l.Addr().String()), AnswerLimit: endlessAnswerLimit, IdleLimit: endlessTargets,
-					IdleTime: dfuclock.Minute, Dialect: Native{}, LargeAnswers: NewMemory(endlessAnswerLimit),
+					IdleTime: dfuclock.Minute, Dialect: untilClose{}, LargeAnswers: NewMemory(endlessAnswerLimit),
 				})
 				stop := peakHeap()
 				began := time.Now()
