io/process/dfunode: accept calls of running requests until the target is drained

What callers saw: a request that runs beside a stopping node fails when it calls another service later than 60 % of the grace time.

Cause: the node closed its listener then, while its target still ran the requests that it had accepted.

Change: the node closes its listener when its target is drained, at the latest 0.25 s before the end of the stop. Until then it refuses, as before, what can't end in time.

Tests: TestCallOfRunningRequestIsServedAtStop failed before (the call got no connection).

--- a/io/process/dfunode/leave.go
+++ b/io/process/dfunode/leave.go
@@ -19,6 +19,9 @@
 	drainPollPeriod = 20 * time.Millisecond
 	// claimHandoverTimeout bounds the handover of claims by a stopping node.
 	claimHandoverTimeout = 2 * time.Second
+	// callersCloseTime is the time before the end of a stop in which the node stops
+	// accepting callers although requests still run on its target.
+	callersCloseTime = 250 * time.Millisecond
 	// minLinkCloseTime is how long the links to other nodes stay open at least, to send
 	// the replies of the last requests. unlimitedLinkCloseTime applies to a node without a
 	// grace period.
@@ -65,11 +68,13 @@
 		c.gate.Notify(dfugate.StopScheduled{Schedule: schedule})
 	}
 	time.Sleep(schedule.CloseAt().Sub(n.clock.Now()).Std())
+	deadline := time.Now().Add(schedule.EndAt().Sub(n.clock.Now()).Std())
 	if c != nil {
 		c.target.stop()
 		n.control.Announce(dfucontrol.Announcement{Left: true})
+		// The requests that still run may call other services through this node.
+		n.awaitDrained(c, deadline.Add(-callersCloseTime))
 	}
-	deadline := time.Now().Add(schedule.EndAt().Sub(n.clock.Now()).Std())
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	err := n.callerServer.Close(ctx)
