--- a/core/version/dfucatalogue/catalogue_test.go
+++ b/core/version/dfucatalogue/catalogue_test.go
@@ -137,3 +137,19 @@
 	is.NoErr(err)
 	is.Equal(string(text), `{"change_id":"23","made_from":22}`)
 }
+
+// Another writer's value under a key of the catalogue that is nested deeply, or has a number
+// out of range, must be refused without harm to the nodes that read it.
+func TestOddStoredEntryIsRefused(t *testing.T) {
+	deep := strings.Repeat("[", 200_000) + strings.Repeat("]", 200_000)
+	for name, odd := range map[string]string{
+		"nested deeply":    `{"change_id": "c", "entry": {"service": ` + deep + `}}`,
+		"number too large": `{"change_id": "c", "made_from": 1e999, "entry": {"service": "lager", "owner": "stock"}}`,
+		"other types":      `{"change_id": 7, "entry": []}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := dfucatalogue.DecodeStored([]byte(odd))
+			is.New(t).True(err != nil)
+		})
+	}
+}
--- a/io/process/dfunode/odd_announcement_test.go
+++ b/io/process/dfunode/odd_announcement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -30,3 +31,21 @@
 	_, err := parseInstance("i-1", fmt.Appendf(nil, form, "20000", "7", fmt.Sprint(now+5000)), dfuinstance.UnixMs(now))
 	is.New(t).NoErr(err) // the clock of another VM may be seconds ahead
 }
+
+// Another writer's announcement that is nested deeply, or has a value of another form, must
+// be refused without harm to the node.
+func TestOddAnnouncementIsRefused(t *testing.T) {
+	const form = `{"service":%s,"address":%q,"slots":%s,"state":"ready","cold_remaining_ms":0,"sequence":1,"born":100}`
+	deep := strings.Repeat("[", 200_000) + strings.Repeat("]", 200_000)
+	for name, odd := range map[string]string{
+		"nested deeply":     fmt.Sprintf(form, deep, "127.0.0.1:1", "4"),
+		"number too large":  fmt.Sprintf(form, `"lager"`, "127.0.0.1:1", "1e999"),
+		"port out of range": fmt.Sprintf(form, `"lager"`, "127.0.0.1:70000", "4"),
+		"other types":       fmt.Sprintf(form, "7", "127.0.0.1:1", `"4"`),
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := parseInstance("i-1", []byte(odd), 100)
+			is.New(t).True(err != nil)
+		})
+	}
+}
