--- a/core/version/dfucatalogue/catalogue_test.go
+++ b/core/version/dfucatalogue/catalogue_test.go
@@ -140,15 +140,15 @@
 
 // Another writer's value under a key of the catalogue that is nested deeply, or has a number
 // out of range, must be refused without harm to the nodes that read it.
-func TestOddStoredEntryIsRefused(t *testing.T) {
+func TestMalformedStoredEntryIsRefused(t *testing.T) {
 	deep := strings.Repeat("[", 200_000) + strings.Repeat("]", 200_000)
-	for name, odd := range map[string]string{
+	for name, malformed := range map[string]string{
 		"nested deeply":    `{"change_id": "c", "entry": {"service": ` + deep + `}}`,
 		"number too large": `{"change_id": "c", "made_from": 1e999, "entry": {"service": "lager", "owner": "stock"}}`,
 		"other types":      `{"change_id": 7, "entry": []}`,
 	} {
 		t.Run(name, func(t *testing.T) {
-			_, err := dfucatalogue.DecodeStored([]byte(odd))
+			_, err := dfucatalogue.DecodeStored([]byte(malformed))
 			is.New(t).True(err != nil)
 		})
 	}
--- a/io/process/dfucontrol/odd_page_test.go
+++ b/io/process/dfucontrol/invalid_page_test.go
@@ -11,13 +11,13 @@
 	"github.com/matryer/is"
 )
 
-// Another writer left an odd entry on a zone page: the whole page was ignored, so that a
+// Another writer left an invalid entry on a zone page: the whole page was ignored, so that a
 // node that started again under a slow clock took a lower incarnation than its former run.
-func TestOddEntryLeavesTheOthersOfItsPage(t *testing.T) {
+func TestInvalidEntryLeavesTheOthersOfItsPage(t *testing.T) {
 	const page = "zone/sued/sued-a"
 	deep := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
 	entry := `{"node": %s, "incarnation": %s, "peer": %q, "http": "", "place": {"region": "sued", "zone": "sued-a"}}`
-	for name, odd := range map[string]string{
+	for name, invalid := range map[string]string{
 		"nested deeply":         fmt.Sprintf(entry, deep, "1", "127.0.0.1:7009"),
 		"number too large":      fmt.Sprintf(entry, `"vm-9"`, "1e999", "127.0.0.1:7009"),
 		"own number too large":  fmt.Sprintf(entry, `"vm-0"`, "18446744073709551615", "127.0.0.1:7000"),
@@ -42,7 +42,7 @@
 			f.store.mu.Lock()
 			listed := strings.TrimPrefix(string(f.store.records[page].Value), "[")
 			f.store.mu.Unlock()
-			f.store.put(page, []byte("["+odd+","+listed))
+			f.store.put(page, []byte("["+invalid+","+listed))
 
 			restarted, _ := f.startAt(0, func() time.Time { return time.Now().Add(-time.Hour) })
 			second, _ = f.start(2)
@@ -52,7 +52,7 @@
 				f.store.mu.Lock()
 				value := string(f.store.records[page].Value)
 				f.store.mu.Unlock()
-				return !strings.Contains(value, odd) && strings.Contains(value, "vm-0") && strings.Contains(value, "vm-2")
+				return !strings.Contains(value, invalid) && strings.Contains(value, "vm-0") && strings.Contains(value, "vm-2")
 			})
 		})
 	}
--- a/io/process/dfunode/odd_announcement_test.go
+++ b/io/process/dfunode/invalid_announcement_test.go
@@ -13,10 +13,10 @@
 
 // Another writer announced the target with a number that it can't have reached: all later
 // announcements of the target, and of its next runs, were ignored as outdated.
-func TestOddAnnouncementDoesNotOutdateTheTarget(t *testing.T) {
+func TestImplausibleAnnouncementDoesNotOutdateTheTarget(t *testing.T) {
 	const form = `{"service":"lager","address":"127.0.0.1:1","slots":4,"state":"ready","cold_remaining_ms":%s,"sequence":%s,"born":%s}`
 	now := time.Now().UnixMilli()
-	for name, odd := range map[string]string{
+	for name, invalid := range map[string]string{
 		"born in the far future": fmt.Sprintf(form, "0", "2", "9223372036854775807"),
 		"born in a year":         fmt.Sprintf(form, "0", "2", fmt.Sprint(now+int64(365*24*time.Hour/time.Millisecond))),
 		"born below zero":        fmt.Sprintf(form, "0", "2", "-1"),
@@ -24,7 +24,7 @@
 		"cold for ever":          fmt.Sprintf(form, "9223372036854775807", "2", fmt.Sprint(now)),
 	} {
 		t.Run(name, func(t *testing.T) {
-			_, err := parseInstance("i-1", []byte(odd), dfuinstance.UnixMs(now))
+			_, err := parseInstance("i-1", []byte(invalid), dfuinstance.UnixMs(now))
 			is.New(t).True(err != nil)
 		})
 	}
@@ -34,17 +34,17 @@
 
 // Another writer's announcement that is nested deeply, or has a value of another form, must
 // be refused without harm to the node.
-func TestOddAnnouncementIsRefused(t *testing.T) {
+func TestMalformedAnnouncementIsRefused(t *testing.T) {
 	const form = `{"service":%s,"address":%q,"slots":%s,"state":"ready","cold_remaining_ms":0,"sequence":1,"born":100}`
 	deep := strings.Repeat("[", 200_000) + strings.Repeat("]", 200_000)
-	for name, odd := range map[string]string{
+	for name, invalid := range map[string]string{
 		"nested deeply":     fmt.Sprintf(form, deep, "127.0.0.1:1", "4"),
 		"number too large":  fmt.Sprintf(form, `"lager"`, "127.0.0.1:1", "1e999"),
 		"port out of range": fmt.Sprintf(form, `"lager"`, "127.0.0.1:70000", "4"),
 		"other types":       fmt.Sprintf(form, "7", "127.0.0.1:1", `"4"`),
 	} {
 		t.Run(name, func(t *testing.T) {
-			_, err := parseInstance("i-1", []byte(odd), 100)
+			_, err := parseInstance("i-1", []byte(invalid), 100)
 			is.New(t).True(err != nil)
 		})
 	}
