io/request/dfuadmission: log how a target's refusal was found

Cause: a gate logged that its target had refused a request, but not whether the answer bore the request's id, nor what its connection had carried before. The hypotheses on refusals of requests that ran can't be told apart without it. Change: the line of a refused request has the status, identified, earlier_answers and skipped_answers; gate.surplus_answers counts the answers to other requests that were skipped. No decision changes.

--- a/io/connection/dfutarget/client.go
+++ b/io/connection/dfutarget/client.go
@@ -70,12 +70,24 @@
 	w *bufio.Writer
 	// idleUntil is the time from which the target may close the idle connection.
 	idleUntil time.Time
+	// answers is the number of answers to earlier requests that were read.
+	answers int
 }
 
 // Result is a target's response to a request.
 type Result struct {
 	Answer           dfumessage.Answer
 	ResponseMetadata ResponseMetadata
+	Exchange         Exchange
+}
+
+// Exchange describes how the response to a request was found on its connection.
+type Exchange struct {
+	// EarlierAnswers is the number of answers to earlier requests on the connection.
+	EarlierAnswers int
+	// Skipped is the number of responses to other requests that were read before the
+	// response.
+	Skipped int
 }
 
 // New returns a client for the target that cfg describes.
@@ -256,18 +268,19 @@
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	resp.Header.SetNoDefaultContentType(true)
-	skipped := 0
+	exchange := Exchange{EarlierAnswers: cn.answers}
 	body := bodyReader{limit: c.cfg.AnswerLimit, memory: c.cfg.LargeAnswers}
 	defer body.release()
-	metadata, err := c.readMatchingResponse(resp, &body, cn.r, offer, &skipped)
+	metadata, err := c.readMatchingResponse(resp, &body, cn.r, offer, &exchange.Skipped)
+	cn.answers++
 	if err != nil {
 		cn.Close()
-		return Result{}, false, markInterrupted(errors.CombineErrors(pending.wait(), err))
+		return Result{Exchange: exchange}, false, markInterrupted(errors.CombineErrors(pending.wait(), err))
 	}
 	if c.cfg.OnLeaving != nil && metadata.Leaving && c.isFromInstance(metadata) {
 		c.cfg.OnLeaving()
 	}
-	reusable := skipped == 0 && !resp.ConnectionClose() && cn.r.Buffered() == 0
+	reusable := exchange.Skipped == 0 && !resp.ConnectionClose() && cn.r.Buffered() == 0
 	select {
 	case <-pending.done:
 		reusable = reusable && pending.err == nil
@@ -278,7 +291,7 @@
 		cn.Close()
 		<-pending.done
 	}
-	return Result{Answer: copyResponse(resp, body.body), ResponseMetadata: metadata}, reusable, nil
+	return Result{Answer: copyResponse(resp, body.body), ResponseMetadata: metadata, Exchange: exchange}, reusable, nil
 }
 
 // pendingWrite is a request that is being written. err is set before done is
--- a/io/connection/dfutarget/dialect.go
+++ b/io/connection/dfutarget/dialect.go
@@ -31,6 +31,8 @@
 type ResponseMetadata struct {
 	// ForOtherRequest is set if the response belongs to another request.
 	ForOtherRequest bool
+	// Identified is set if the response bears the id of its request.
+	Identified bool
 	// Invalid is the reason why the response can't come from the target itself,
 	// or nil.
 	Invalid error
--- a/io/request/dfuadmission/controller.go
+++ b/io/request/dfuadmission/controller.go
@@ -66,6 +66,8 @@
 	deps         Deps
 	runs         metrics.Counter
 	canceledRuns metrics.Counter
+	// surplusAnswers counts the responses of the target that belonged to other requests.
+	surplusAnswers metrics.Counter
 
 	mu      sync.Mutex
 	timer   *time.Timer
@@ -97,6 +99,8 @@
 		measuring:    dfubudget.NewMeasuringBudget(deps.Clock.Now()),
 		runs:         metrics.GetOrRegisterCounter("gate.runs", deps.Metrics),
 		canceledRuns: metrics.GetOrRegisterCounter("gate.canceled_runs", deps.Metrics),
+
+		surplusAnswers: metrics.GetOrRegisterCounter("gate.surplus_answers", deps.Metrics),
 	}
 	c.timer = time.AfterFunc(time.Hour, c.tick)
 	return c
--- a/io/request/dfuadmission/offer.go
+++ b/io/request/dfuadmission/offer.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 )
 
 // pendingOffer is an offer that has no reply yet. The goroutine that called Offer
@@ -34,6 +35,8 @@
 	// cancel cancels the run on the target; it is nil if none was started.
 	cancel context.CancelFunc
 	answer dfumessage.Answer
+	// result is the result of the run on the target; zero if none was started.
+	result dfutarget.Result
 	// targetErr is the reason that the target returned no complete answer, or nil.
 	targetErr error
 	// holdsClaim is set while the request holds a claim that must be finished or
@@ -157,7 +160,7 @@
 			zap.Stringer("held", c.deps.Clock.Now().Sub(p.arrived)),
 			zap.Uint16("running", load.InFlight), zap.Uint16("waiting", load.Queued), zap.Uint16("slots", load.Slots),
 			zap.Uint16("slowdown_percent", load.Slowdown), zap.Stringer("service_time", load.ServiceTime),
-			zap.Error(p.targetErr))
+			zap.Inline(refusalFields(p.result)), zap.Error(p.targetErr))
 	}
 	if outcome == dfuoutcome.Answered {
 		c.logSlowRun(p, id)
@@ -165,6 +168,21 @@
 	p.instructions <- instruction{reply: reply}
 }
 
+// refusalFields returns the log fields of a target's refusal, which show whether it can be
+// the surplus answer to an earlier request. It returns none for another response.
+func refusalFields(result dfutarget.Result) zapcore.ObjectMarshalerFunc {
+	return func(e zapcore.ObjectEncoder) error {
+		if !result.ResponseMetadata.NotRun {
+			return nil
+		}
+		e.AddInt("status", result.Answer.Status)
+		e.AddBool("identified", result.ResponseMetadata.Identified)
+		e.AddInt("earlier_answers", result.Exchange.EarlierAnswers)
+		e.AddInt("skipped_answers", result.Exchange.Skipped)
+		return nil
+	}
+}
+
 // slowRunFactor is the multiple of its typical time from which a run is logged as
 // slow.
 const slowRunFactor = 3
--- a/io/request/dfuadmission/target.go
+++ b/io/request/dfuadmission/target.go
@@ -114,7 +114,9 @@
 		delete(c.running, p.offer.CallerRequest)
 	}
 	p.answer = result.Answer
+	p.result = result
 	p.targetErr = targetErr
+	c.surplusAnswers.Inc(int64(result.Exchange.Skipped))
 	if result.ResponseMetadata.Load != nil {
 		c.step(dfugate.TargetLoadReported{Load: *result.ResponseMetadata.Load})
 	}
