--- /dev/null
+++ b/core/request/refused_target_test.go
@@ -0,0 +1,36 @@
+package request_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"dragonflyusher/core/connection/dfuchoice"
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/request/dfuattempt"
+	"dragonflyusher/core/request/dfuoutcome"
+
+	"github.com/matryer/is"
+)
+
+// A request was sent once more to a target that had refused it, after the target's gate
+// had refused it as busy.
+func TestTargetThatRefusedIsNotChosenAgain(t *testing.T) {
+	is := is.New(t)
+	place := dfuident.Place{Region: "r1", Zone: "z1"}
+	chooser := dfuchoice.New(dfuchoice.MinLossSettings(), rand.New(rand.NewPCG(1, 1)))
+	chooser.SetTargets(0, "lager", []dfuchoice.Target{{Member: member("a"), Place: place, Slots: 4}})
+	machine := dfuattempt.New(dfuattempt.DefaultConfig(), member("entry"), place, chooser, &attemptSession{tokens: 100})
+	actions := machine.Step(0, dfuattempt.Arrived{Request: 1, Service: "lager", Remaining: dfuclock.Second, Targets: 3, Allowance: 3})
+	for _, reason := range []dfuoutcome.Reason{dfuoutcome.ReasonQueueFull, dfuoutcome.ReasonTargetRefused} {
+		is.Equal(len(actions), 1)
+		send, ok := actions[0].(dfuattempt.Send)
+		is.True(ok) // the only target is chosen, the second time to wait in its queue
+		actions = machine.Step(1, dfuattempt.Replied{ID: send.ID, Outcome: dfuoutcome.NotRun, Reason: reason})
+	}
+	is.Equal(len(actions), 1)
+	finish, ok := actions[0].(dfuattempt.Finish)
+	is.True(ok)
+	is.Equal(finish.Outcome, dfuoutcome.NotRun)
+	is.Equal(finish.Reason, dfuoutcome.ReasonTargetRefused)
+}
