io/connection/dfutarget: keep load queries off the connections of requests

Callers saw: 503 for a request that a target ran. Cause: a load query shared its connection with requests, and its answer bears no id. A target may refuse it like any request, and send a copy of the refusal where the answer to a request is due. An answer without an id was taken for that of the request. Change: load queries and health checks have a pool of connections of their own. It works because no answer without an id is ever due on a connection of requests.

--- a/io/connection/dfutarget/client.go
+++ b/io/connection/dfutarget/client.go
@@ -4,10 +4,7 @@
 	"bufio"
 	"cmp"
 	"context"
-	"net"
 	"slices"
-	"sync"
-	"syscall"
 	"time"
 
 	"dragonflyusher/core/process/dfuclock"
@@ -57,21 +54,11 @@
 
 // Client sends requests to one target.
 type Client struct {
-	cfg       Config
-	mu        sync.Mutex
-	idle      []*conn
-	idleLimit int
-}
-
-// conn is a connection to the target.
-type conn struct {
-	net.Conn
-	r *bufio.Reader
-	w *bufio.Writer
-	// idleUntil is the time from which the target may close the idle connection.
-	idleUntil time.Time
-	// answers is the number of answers to earlier requests that were read.
-	answers int
+	cfg Config
+	// requests holds the connections of requests, and queries those of load queries and
+	// health checks. The answer to a query bears no id. A copy of it that arrives where
+	// the answer to a request is due could not be detected.
+	requests, queries connPool
 }
 
 // Result is a target's response to a request.
@@ -92,7 +79,7 @@
 
 // New returns a client for the target that cfg describes.
 func New(cfg Config) *Client {
-	return &Client{cfg: cfg, idleLimit: cfg.IdleLimit}
+	return &Client{cfg: cfg, requests: connPool{limit: cfg.IdleLimit}, queries: connPool{limit: maxIdleQueryConns}}
 }
 
 // Instance returns the id of the run of the target's process.
@@ -104,14 +91,15 @@
 // done first, Run closes the connection. Errors are marked ErrNotSent or
 // ErrInterrupted.
 func (c *Client) Run(ctx context.Context, offer *dfumessage.Offer, remaining dfuclock.Duration) (Result, error) {
-	return c.run(ctx, offer, func(h *fasthttp.RequestHeader) {
+	return c.run(ctx, &c.requests, offer, func(h *fasthttp.RequestHeader) {
 		c.cfg.Dialect.SetHeaders(h, offer, c.cfg.Instance, remaining)
 	})
 }
 
-// run sends a request after fill has completed its header.
-func (c *Client) run(ctx context.Context, offer *dfumessage.Offer, fill func(*fasthttp.RequestHeader)) (Result, error) {
-	cn, err := c.acquire(ctx, offer.Idempotent)
+// run sends a request after fill has completed its header, over a connection of the pool
+// or a new one.
+func (c *Client) run(ctx context.Context, pool *connPool, offer *dfumessage.Offer, fill func(*fasthttp.RequestHeader)) (Result, error) {
+	cn, err := c.acquire(ctx, pool, offer.Idempotent)
 	if err != nil {
 		return Result{}, errors.Mark(err, ErrNotSent)
 	}
@@ -120,7 +108,7 @@
 	if !stop() || err != nil || !reusable {
 		cn.Close()
 	} else {
-		c.release(cn, result.ResponseMetadata.IdleTime)
+		pool.put(cn, c.idleTime(result.ResponseMetadata))
 	}
 	return result, err
 }
@@ -128,11 +116,11 @@
 // errNoLoad means that a response does not report the target's load.
 var errNoLoad = errors.New("response does not report the target's load")
 
-// FetchLoad requests the target's load from a path, over the same pool of
-// connections as requests. If ctx is done first, FetchLoad closes the connection.
+// FetchLoad requests the target's load from a path. If ctx is done first, FetchLoad closes
+// the connection.
 func (c *Client) FetchLoad(ctx context.Context, path string) (dfugate.TargetLoad, error) {
 	offer := &dfumessage.Offer{Method: fasthttp.MethodGet, URI: path, Idempotent: true}
-	result, err := c.run(ctx, offer, func(*fasthttp.RequestHeader) {})
+	result, err := c.run(ctx, &c.queries, offer, func(*fasthttp.RequestHeader) {})
 	switch {
 	case err != nil:
 		return dfugate.TargetLoad{}, err
@@ -157,7 +145,7 @@
 // CheckHealth closes the connection and returns an error.
 func (c *Client) CheckHealth(ctx context.Context, path string) (Health, error) {
 	offer := &dfumessage.Offer{Method: fasthttp.MethodGet, URI: path, Idempotent: true}
-	result, err := c.run(ctx, offer, func(*fasthttp.RequestHeader) {})
+	result, err := c.run(ctx, &c.queries, offer, func(*fasthttp.RequestHeader) {})
 	if err != nil {
 		return Health{}, err
 	}
@@ -175,22 +163,17 @@
 
 // Close closes the idle connections.
 func (c *Client) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, cn := range c.idle {
-		cn.Close()
-	}
-	c.idle = nil
-	c.idleLimit = 0
+	c.requests.close()
+	c.queries.close()
 }
 
 // acquire returns an idle or a new connection. A non-idempotent request gets a
 // new one unless the targets of the dialect state their idle timeout: the target
 // could close an idle connection while the request is being written, and it would
 // be unknown whether the target ran the request.
-func (c *Client) acquire(ctx context.Context, idempotent bool) (*conn, error) {
+func (c *Client) acquire(ctx context.Context, pool *connPool, idempotent bool) (*conn, error) {
 	for idempotent || c.cfg.Dialect.StatesIdleTime() {
-		cn := c.popIdle()
+		cn := pool.pop()
 		if cn == nil {
 			break
 		}
@@ -206,55 +189,10 @@
 	return &conn{Conn: raw, r: bufio.NewReader(raw), w: bufio.NewWriter(raw)}, nil
 }
 
-func (c *Client) popIdle() *conn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	last := len(c.idle) - 1
-	if last < 0 {
-		return nil
-	}
-	cn := c.idle[last]
-	c.idle = c.idle[:last]
-	return cn
-}
-
-// release returns a connection to the pool. The connection may be reused for the
-// configured idle time, or for targetIdle if that is shorter and not zero.
-func (c *Client) release(cn *conn, targetIdle dfuclock.Duration) {
-	idle := c.cfg.IdleTime
-	if targetIdle > 0 {
-		idle = min(idle, targetIdle)
-	}
-	cn.idleUntil = time.Now().Add(idle.Std())
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.idle) >= c.idleLimit {
-		cn.Close()
-		return
-	}
-	c.idle = append(c.idle, cn)
-}
-
-// alive reports whether an idle connection is open and has no unread data. It
-// peeks at the socket, because a Read with an expired deadline returns before it
-// reaches the kernel.
-func (cn *conn) alive() bool {
-	raw, ok := cn.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	empty := false
-	err = control.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		empty = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && empty
+// idleTime returns how long a connection may be reused after a response: the configured
+// idle time, or the target's if that is stated and shorter.
+func (c *Client) idleTime(metadata ResponseMetadata) dfuclock.Duration {
+	return min(c.cfg.IdleTime, cmp.Or(metadata.IdleTime, c.cfg.IdleTime))
 }
 
 // maxResponseReads is the maximum number of responses that one exchange reads in
--- a/io/connection/dfutarget/failure_test.go
+++ b/io/connection/dfutarget/failure_test.go
@@ -157,7 +157,7 @@
 			_, err := run(client, "GET", true, nil)
 			is.NoErr(err)
 			if c.closes { // wait until the client has received the close
-				for cn := client.idle[0]; cn.alive(); {
+				for cn := client.requests.idle[0]; cn.alive(); {
 					time.Sleep(time.Millisecond)
 				}
 			}
--- /dev/null
+++ b/io/connection/dfutarget/pool.go
@@ -0,0 +1,94 @@
+package dfutarget
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"dragonflyusher/core/process/dfuclock"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxIdleQueryConns is the maximum number of idle connections for load queries and health
+// checks, of which rarely more than one is in progress.
+const maxIdleQueryConns = 1
+
+// conn is a connection to the target.
+type conn struct {
+	net.Conn
+	r *bufio.Reader
+	w *bufio.Writer
+	// idleUntil is the time from which the target may close the idle connection.
+	idleUntil time.Time
+	// answers is the number of answers to earlier requests that were read.
+	answers int
+}
+
+// connPool holds idle connections to the target. It is safe for concurrent use.
+type connPool struct {
+	mu    sync.Mutex
+	idle  []*conn
+	limit int
+}
+
+// pop removes the connection that was used last and returns it, or nil if there is none.
+func (p *connPool) pop() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	last := len(p.idle) - 1
+	if last < 0 {
+		return nil
+	}
+	cn := p.idle[last]
+	p.idle = p.idle[:last]
+	return cn
+}
+
+// put adds a connection that may be reused for the time idle, or closes it if the pool is
+// full or closed.
+func (p *connPool) put(cn *conn, idle dfuclock.Duration) {
+	cn.idleUntil = time.Now().Add(idle.Std())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) >= p.limit {
+		cn.Close()
+		return
+	}
+	p.idle = append(p.idle, cn)
+}
+
+// close closes the idle connections, and lets put close all further ones.
+func (p *connPool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, cn := range p.idle {
+		cn.Close()
+	}
+	p.idle = nil
+	p.limit = 0
+}
+
+// alive reports whether an idle connection is open and has no unread data. It
+// peeks at the socket, because a Read with an expired deadline returns before it
+// reaches the kernel.
+func (cn *conn) alive() bool {
+	raw, ok := cn.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	empty := false
+	err = control.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		empty = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && empty
+}
