io/connection/dfutarget: close a connection after a refusal

Callers saw: 503 for a request that a target ran, or its run at a second target. Cause: a target may send a copy of a refusal on a kept connection, where a later answer is due. It bears the id of the request that was refused. If that request comes again on the same connection, the id tells nothing, and the copy was taken for the refusal of the run that had just begun. Change: the connection is closed after an answer that refuses its request, or whose status alone promises that. No refusal then precedes any answer that is read on a connection.

--- a/io/connection/dfutarget/client.go
+++ b/io/connection/dfutarget/client.go
@@ -218,7 +218,8 @@
 	if c.cfg.OnLeaving != nil && metadata.Leaving && c.isFromInstance(metadata) {
 		c.cfg.OnLeaving()
 	}
-	reusable := exchange.Skipped == 0 && !resp.ConnectionClose() && cn.r.Buffered() == 0
+	// A copy of a refusal may follow it, with the id of a request that comes again.
+	reusable := exchange.Skipped == 0 && !metadata.Refusal && !resp.ConnectionClose() && cn.r.Buffered() == 0
 	select {
 	case <-pending.done:
 		reusable = reusable && pending.err == nil
--- a/io/connection/dfutarget/dialect.go
+++ b/io/connection/dfutarget/dialect.go
@@ -38,6 +38,8 @@
 	Invalid error
 	// NotRun is set if the target states that it did not run the request.
 	NotRun bool
+	// Refusal is set if the response states that, or its status alone does.
+	Refusal bool
 	// Replaced is set if another instance now uses the target's address.
 	Replaced bool
 	// Leaving is set if the target states that it is about to end.
@@ -87,7 +89,8 @@
 
 // Read implements Dialect.
 func (Native) Read(h *fasthttp.ResponseHeader, _ *dfumessage.Offer) ResponseMetadata {
-	return ResponseMetadata{NotRun: h.StatusCode() == fasthttp.StatusServiceUnavailable && len(h.Peek(HeaderNotRun)) > 0}
+	refusal := h.StatusCode() == fasthttp.StatusServiceUnavailable
+	return ResponseMetadata{NotRun: refusal && len(h.Peek(HeaderNotRun)) > 0, Refusal: refusal}
 }
 
 // StatesIdleTime implements Dialect.
