core/request/dfuattempt: send a request to each target at most once

Callers saw: a request could come again to the target that had refused it, where a copy of the refusal is told from the new answer by nothing but its connection. Cause: a node that refuses because its target is busy stays eligible, so that the request can wait in its queue. It stayed so when its target itself then refused the request, or failed to run it. Change: a node whose target has received the request isn't chosen again. Evidence: TestTargetThatRefusedIsNotChosenAgain failed before.

--- a/core/request/dfuattempt/reply.go
+++ b/core/request/dfuattempt/reply.go
@@ -37,7 +37,7 @@
 			return
 		}
 		if e.Reason == dfuoutcome.ReasonTargetRefused {
-			a.request.targetsReached++
+			a.request.recordReached(a.to.Node)
 		}
 		a.request.recordRefusal(a.to.Node, e.Reason)
 		m.attemptNotRun(now, a, SendRefused, e.Reason)
@@ -59,6 +59,14 @@
 	}
 }
 
+// recordReached records that the target of a node has received the request. The node isn't
+// chosen again, since the answer to a second run at the same target could be confused with
+// that to the first.
+func (r *request) recordReached(node dfuident.NodeID) {
+	r.targetsReached++
+	r.refused = slices.DeleteFunc(r.refused, func(n dfuident.NodeID) bool { return n == node })
+}
+
 // isBusy reports whether a gate refused because its target is busy.
 func isBusy(reason dfuoutcome.Reason) bool {
 	switch reason {
@@ -115,7 +123,7 @@
 	r := a.request
 	m.removeAttempt(a)
 	r.mayHaveRun = true
-	r.targetsReached++
+	r.recordReached(a.to.Node)
 	if r.errorAnswer.Sequence == 0 {
 		r.errorAnswer = a.id
 	}
@@ -131,7 +139,7 @@
 	r := a.request
 	m.removeAttempt(a)
 	r.mayHaveRun = true
-	r.targetsReached++
+	r.recordReached(a.to.Node)
 	r.reason = reason
 	if r.mayRetry() && m.send(now, r, SendTargetDied) {
 		return
