io/request/dfudispatch: repeat a request without the targets that refused it

Callers saw: as before, a request could come again to the target that had refused it, here when its last attempt met a draining or unreachable node. Cause: such a request is repeated from the beginning, with all nodes. Change: a repetition excludes the nodes whose targets refused the request. Evidence: TestRepetitionSkipsTargetThatRefused failed before. A refusal that is lost with its link and sealed is not known as one and not excluded; the closed connection covers it.

--- a/core/request/dfuattempt/arrive.go
+++ b/core/request/dfuattempt/arrive.go
@@ -1,6 +1,8 @@
 package dfuattempt
 
 import (
+	"slices"
+
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/request/dfuoutcome"
@@ -29,6 +31,7 @@
 		allowance:  e.Allowance,
 		owner:      e.Owner,
 		targets:    e.Targets,
+		excluded:   slices.Clone(e.Excluded),
 	}
 	if e.Objective > 0 {
 		r.objective = now.Add(e.Objective)
--- a/io/request/dfudispatch/attempt.go
+++ b/io/request/dfudispatch/attempt.go
@@ -51,6 +51,9 @@
 			a.answer = result.answer
 			a.request.saveError(result.id, a)
 		}
+		if isTargetRefusal(result.event) {
+			a.request.refusedBy = append(a.request.refusedBy, a.to.Member.Node)
+		}
 	}
 	d.step(result.event)
 	if final {
@@ -73,6 +76,12 @@
 	}
 }
 
+// isTargetRefusal reports whether an event is the refusal of a target.
+func isTargetRefusal(event dfuattempt.Event) bool {
+	e, ok := event.(dfuattempt.Replied)
+	return ok && e.Outcome == dfuoutcome.NotRun && e.Reason == dfuoutcome.ReasonTargetRefused
+}
+
 // send starts an attempt. The goroutine that is starting the request sends its first
 // attempt itself; any other attempt gets a goroutine of its own.
 func (d *Dispatcher) send(a dfuattempt.Send) {
--- a/io/request/dfudispatch/serve.go
+++ b/io/request/dfudispatch/serve.go
@@ -27,6 +27,8 @@
 	reply chan dfufront.Result
 	// sent holds the ids of the attempts sent, in order.
 	sent []dfuident.RequestID
+	// refusedBy holds the nodes whose targets refused the request.
+	refusedBy []dfuident.NodeID
 	// bulk is set if the body or the answer may be large.
 	bulk bool
 	// noClaim is set for a non-idempotent request that runs without a claim: only
@@ -95,8 +97,10 @@
 	priorWait := call.Waited
 	var backoff dfuattempt.RepeatBackoff
 	attempts := 0
+	var refusedBy []dfuident.NodeID
 	for {
-		result := d.tryOnce(*call, c)
+		result, refusals := d.tryOnce(*call, c, refusedBy)
+		refusedBy = append(refusedBy, refusals...)
 		attempts += result.Attempts
 		result.Attempts = attempts
 		now := d.deps.Clock.Now()
@@ -129,12 +133,22 @@
 	return min(call.Remaining, call.Route.TargetLatency/waitDivisor-waited)
 }
 
-// tryOnce passes the call to the machine once and waits for the result.
-func (d *Dispatcher) tryOnce(call dfufront.Call, c *callerWatch) dfufront.Result {
+// tryOnce passes the call to the machine once and waits for the result. No node in excluded
+// is chosen. tryOnce also returns the nodes whose targets refused the call.
+func (d *Dispatcher) tryOnce(call dfufront.Call, c *callerWatch, excluded []dfuident.NodeID) (dfufront.Result, []dfuident.NodeID) {
 	r, refused := d.admit(call)
 	if refused != nil {
-		return *refused
+		return *refused, nil
 	}
+	r.event.Excluded = excluded
+	result := d.await(r, c)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return result, r.refusedBy
+}
+
+// await passes a request to the machine and waits for its result.
+func (d *Dispatcher) await(r *request, c *callerWatch) dfufront.Result {
 	r.reply = make(chan dfufront.Result, 1)
 	c.request.Store(uint64(r.event.Request))
 	if inlineOffer := d.startRequest(r); inlineOffer != nil {
