io/connection/dfutarget: reuse a connection only after an answer with its id

Callers saw: the answer to another request. Cause: an answer without an id was taken for that of the request under way. If a target's answers bear none, a copy of one can't be told from the next; the native protocol knew no id in answers at all. Change: a connection of requests is closed after an answer that doesn't bear the id of its request. In the native protocol targets repeat Dragonflyusher-Request-Id, and an answer with another id is skipped. Targets that don't repeat it are served over new connections. TestReuse's answers bear the id now, since reuse requires it; it has three more cases: no id, a refusal, the copy of another answer.

--- a/io/connection/dfutarget/client.go
+++ b/io/connection/dfutarget/client.go
@@ -79,7 +79,7 @@
 
 // New returns a client for the target that cfg describes.
 func New(cfg Config) *Client {
-	return &Client{cfg: cfg, requests: connPool{limit: cfg.IdleLimit}, queries: connPool{limit: maxIdleQueryConns}}
+	return &Client{cfg: cfg, requests: connPool{limit: cfg.IdleLimit}, queries: connPool{unidentified: true, limit: maxIdleQueryConns}}
 }
 
 // Instance returns the id of the run of the target's process.
@@ -105,6 +105,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
 	result, reusable, err := c.exchange(cn, offer, fill)
+	reusable = reusable && (pool.unidentified || result.ResponseMetadata.Identified)
 	if !stop() || err != nil || !reusable {
 		cn.Close()
 	} else {
--- a/io/connection/dfutarget/dialect.go
+++ b/io/connection/dfutarget/dialect.go
@@ -88,9 +88,15 @@
 }
 
 // Read implements Dialect.
-func (Native) Read(h *fasthttp.ResponseHeader, _ *dfumessage.Offer) ResponseMetadata {
+func (Native) Read(h *fasthttp.ResponseHeader, offer *dfumessage.Offer) ResponseMetadata {
+	id := string(h.Peek(HeaderRequestID))
 	refusal := h.StatusCode() == fasthttp.StatusServiceUnavailable
-	return ResponseMetadata{NotRun: refusal && len(h.Peek(HeaderNotRun)) > 0, Refusal: refusal}
+	return ResponseMetadata{
+		ForOtherRequest: id != "" && id != offer.ID.String(),
+		Identified:      id != "",
+		NotRun:          refusal && len(h.Peek(HeaderNotRun)) > 0,
+		Refusal:         refusal,
+	}
 }
 
 // StatesIdleTime implements Dialect.
--- a/io/connection/dfutarget/failure_test.go
+++ b/io/connection/dfutarget/failure_test.go
@@ -89,7 +89,10 @@
 func run(c *Client, method string, idempotent bool, body []byte, headers ...dfumessage.Header) (Result, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
-	offer := &dfumessage.Offer{Method: method, URI: "//a%2Fb/../c?q=%20", Idempotent: idempotent, Body: body, Headers: headers}
+	offer := &dfumessage.Offer{
+		ID:     dfuident.RequestID{Entry: dfuident.Member{Node: "a", Incarnation: 1}, Sequence: 1},
+		Method: method, URI: "//a%2Fb/../c?q=%20", Idempotent: idempotent, Body: body, Headers: headers,
+	}
 	return c.Run(ctx, offer, 1000)
 }
 
@@ -135,10 +138,12 @@
 }
 
 // A connection is reused only if it is open and has no data left after the first
-// response, and never for a non-idempotent request.
+// response, which bears the id of its request and is no refusal, and never for a
+// non-idempotent request.
 func TestReuse(t *testing.T) {
-	const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-	const second = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond"
+	const id = "Dragonflyusher-Request-Id: a@1/1\r\n"
+	const ok = "HTTP/1.1 200 OK\r\n" + id + "Content-Length: 2\r\n\r\nok"
+	const second = "HTTP/1.1 200 OK\r\n" + id + "Content-Length: 6\r\n\r\nsecond"
 	for _, c := range []struct {
 		name, first        string
 		closes, idempotent bool
@@ -146,10 +151,13 @@
 	}{
 		{"clean", ok, false, true, 1},
 		{"not idempotent", ok, false, false, 2},
-		{"close announced", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", false, true, 2},
+		{"close announced", "HTTP/1.1 200 OK\r\nConnection: close\r\n" + id + "Content-Length: 2\r\n\r\nok", false, true, 2},
+		{"no id", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false, true, 2},
+		{"refused", "HTTP/1.1 503 Service Unavailable\r\nDragonflyusher-Not-Run: 1\r\n" + id + "Content-Length: 2\r\n\r\nno", false, true, 2},
+		{"copy of another answer", "HTTP/1.1 200 OK\r\nDragonflyusher-Request-Id: a@1/0\r\nContent-Length: 5\r\n\r\nwrong" + ok, false, true, 2},
 		{"closed", ok, true, true, 2},
 		{"bytes after the answer", ok + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", false, true, 2},
-		{"body after no content", "HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", false, true, 2},
+		{"body after no content", "HTTP/1.1 204 No Content\r\n" + id + "\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", false, true, 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/io/connection/dfutarget/pool.go
+++ b/io/connection/dfutarget/pool.go
@@ -29,6 +29,11 @@
 
 // connPool holds idle connections to the target. It is safe for concurrent use.
 type connPool struct {
+	// unidentified is set if the answers on the connections need no id. Otherwise, a
+	// connection is closed after an answer without one, since a copy of that answer
+	// could not be told from the next.
+	unidentified bool
+
 	mu    sync.Mutex
 	idle  []*conn
 	limit int
--- a/standin/dfutargetstandin/target.go
+++ b/standin/dfutargetstandin/target.go
@@ -113,6 +113,7 @@
 //	depth    number of nested calls in the chain, 1 if missing
 //	last     value of ms for the last call of the chain
 func (t *Target) handleRequest(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Dragonflyusher-Request-Id", r.Header.Get("Dragonflyusher-Request-Id"))
 	if t.failing.Load() {
 		http.Error(w, "error responses are switched on", http.StatusInternalServerError)
 		return
