io/connection/dfutarget: keep a connection after an identified refusal

Change: a connection stays in use after a refusal that bears its request's id, but never for a request with that id. It is closed after a refusal without an id and after sixteen refusals. TestCopyOf* pass with the race detector; TestCopyOfRefusalOfOtherRequest is new: the copy is skipped by its id, over one connection.

--- a/io/connection/dfutarget/client.go
+++ b/io/connection/dfutarget/client.go
@@ -99,14 +99,14 @@
 // run sends a request after fill has completed its header, over a connection of the pool
 // or a new one.
 func (c *Client) run(ctx context.Context, pool *connPool, offer *dfumessage.Offer, fill func(*fasthttp.RequestHeader)) (Result, error) {
-	cn, err := c.acquire(ctx, pool, offer.Idempotent)
+	id := hashAnswerID(c.cfg.Dialect.AnswerID(offer))
+	cn, err := c.acquire(ctx, pool, id, offer.Idempotent)
 	if err != nil {
 		return Result{}, errors.Mark(err, ErrNotSent)
 	}
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
 	result, reusable, err := c.exchange(cn, offer, fill)
-	reusable = reusable && (pool.unidentified || result.ResponseMetadata.Identified)
-	if !stop() || err != nil || !reusable {
+	if !stop() || err != nil || !reusable || !pool.accepts(cn, id, result.ResponseMetadata) {
 		cn.Close()
 	} else {
 		pool.put(cn, c.idleTime(result.ResponseMetadata))
@@ -172,9 +172,9 @@
 // new one unless the targets of the dialect state their idle timeout: the target
 // could close an idle connection while the request is being written, and it would
 // be unknown whether the target ran the request.
-func (c *Client) acquire(ctx context.Context, pool *connPool, idempotent bool) (*conn, error) {
+func (c *Client) acquire(ctx context.Context, pool *connPool, id answerIDHash, idempotent bool) (*conn, error) {
 	for idempotent || c.cfg.Dialect.StatesIdleTime() {
-		cn := pool.pop()
+		cn := pool.pop(id)
 		if cn == nil {
 			break
 		}
@@ -219,8 +219,7 @@
 	if c.cfg.OnLeaving != nil && metadata.Leaving && c.isFromInstance(metadata) {
 		c.cfg.OnLeaving()
 	}
-	// A copy of a refusal may follow it, with the id of a request that comes again.
-	reusable := exchange.Skipped == 0 && !metadata.Refusal && !resp.ConnectionClose() && cn.r.Buffered() == 0
+	reusable := exchange.Skipped == 0 && !resp.ConnectionClose() && cn.r.Buffered() == 0
 	select {
 	case <-pending.done:
 		reusable = reusable && pending.err == nil
--- a/io/connection/dfutarget/dialect.go
+++ b/io/connection/dfutarget/dialect.go
@@ -16,6 +16,8 @@
 type Dialect interface {
 	// SetHeaders sets the request header fields that the node writes itself.
 	SetHeaders(h *fasthttp.RequestHeader, offer *dfumessage.Offer, instance dfuident.Instance, remaining dfuclock.Duration)
+	// AnswerID returns the id of a request that targets repeat in their responses.
+	AnswerID(offer *dfumessage.Offer) string
 	// Read extracts the metadata for the node from a response header.
 	Read(h *fasthttp.ResponseHeader, offer *dfumessage.Offer) ResponseMetadata
 	// StatesIdleTime reports whether targets state how long they keep idle
@@ -87,12 +89,17 @@
 	}
 }
 
+// AnswerID implements Dialect.
+func (Native) AnswerID(offer *dfumessage.Offer) string {
+	return offer.ID.String()
+}
+
 // Read implements Dialect.
-func (Native) Read(h *fasthttp.ResponseHeader, offer *dfumessage.Offer) ResponseMetadata {
+func (n Native) Read(h *fasthttp.ResponseHeader, offer *dfumessage.Offer) ResponseMetadata {
 	id := string(h.Peek(HeaderRequestID))
 	refusal := h.StatusCode() == fasthttp.StatusServiceUnavailable
 	return ResponseMetadata{
-		ForOtherRequest: id != "" && id != offer.ID.String(),
+		ForOtherRequest: id != "" && id != n.AnswerID(offer),
 		Identified:      id != "",
 		NotRun:          refusal && len(h.Peek(HeaderNotRun)) > 0,
 		Refusal:         refusal,
--- a/io/connection/dfutarget/pool.go
+++ b/io/connection/dfutarget/pool.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"dragonflyusher/core/process/dfuclock"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 )
 
@@ -16,6 +18,17 @@
 // checks, of which rarely more than one is in progress.
 const maxIdleQueryConns = 1
 
+// maxRefusalsPerConn is the number of refusals on a connection after which it is closed.
+const maxRefusalsPerConn = 16
+
+// answerIDHash is a hash of the id that a target repeats in its answers to a request. Two
+// requests with the same hash share no connection on which one was refused.
+type answerIDHash uint64
+
+func hashAnswerID(id string) answerIDHash {
+	return answerIDHash(xxhash.Sum64String(id))
+}
+
 // conn is a connection to the target.
 type conn struct {
 	net.Conn
@@ -25,6 +38,10 @@
 	idleUntil time.Time
 	// answers is the number of answers to earlier requests that were read.
 	answers int
+	// refused holds the requests that the target refused on this connection. They must
+	// not be sent on it again: a copy of the refusal, which bears the same id, could be
+	// taken for the answer.
+	refused []answerIDHash
 }
 
 // connPool holds idle connections to the target. It is safe for concurrent use.
@@ -39,17 +56,28 @@
 	limit int
 }
 
-// pop removes the connection that was used last and returns it, or nil if there is none.
-func (p *connPool) pop() *conn {
+// pop removes the connection that was used last, of those on which the request was not
+// refused, and returns it, or nil if there is none.
+func (p *connPool) pop(id answerIDHash) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	last := len(p.idle) - 1
-	if last < 0 {
-		return nil
+	for i, cn := range slices.Backward(p.idle) {
+		if !slices.Contains(cn.refused, id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return cn
+		}
+	}
+	return nil
+}
+
+// accepts reports whether a connection may be reused after the answer to a request, and
+// records the request if it was refused.
+func (p *connPool) accepts(cn *conn, id answerIDHash, metadata ResponseMetadata) bool {
+	if !metadata.Refusal {
+		return p.unidentified || metadata.Identified
 	}
-	cn := p.idle[last]
-	p.idle = p.idle[:last]
-	return cn
+	cn.refused = append(cn.refused, id)
+	return metadata.Identified && len(cn.refused) < maxRefusalsPerConn
 }
 
 // put adds a connection that may be reused for the time idle, or closes it if the pool is
