io/connection/dfutarget: refuse chunks in other versions than HTTP/1.1

Cause: fasthttp ignores Transfer-Encoding in an answer whose version is not HTTP/1.1. With a dialect that allows answers without a length, the chunks were taken as a body that ends with the connection, so that each part of them, and none, was a whole body; with a Content-Length beside them, that length counted. Change: the client of targets reads such an answer as faulty (RFC 9112, 6.1), so that it has no answer. For this it waits for a whole header before it is parsed. Result: TestAnswerCutAtAnyByteIsNotWhole reads 33 forms of answers, cut at each byte (of long ones 120 at both ends), in order and by a reset, in four ways of splitting, in both dialects. Before, it failed for the three forms of this fault alone: chunks with HTTP/1.0 and with an unknown version were taken as whole at each cut after the header, 25 positions. The others were never taken as whole.

--- a/io/connection/dfutarget/client.go
+++ b/io/connection/dfutarget/client.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"cmp"
 	"context"
+	"regexp"
 	"slices"
 	"time"
 
@@ -304,6 +306,7 @@
 	errNoFinalResponse    = errors.New("target did not send a final response")
 	errNoLength           = errors.New("response has no Content-Length and is not chunked")
 	errNoMatchingResponse = errors.New("target sent only responses to other requests")
+	errFaultyFraming      = errors.New("response has a Transfer-Encoding that its HTTP version does not define")
 )
 
 // readResponse reads the final response. It reads header and body separately,
@@ -334,7 +337,7 @@
 
 func readFinalHeader(h *fasthttp.ResponseHeader, r *bufio.Reader) error {
 	for range maxHeaderReads {
-		if err := h.Read(r); err != nil {
+		if err := readHeader(h, r); err != nil {
 			return err
 		}
 		if h.StatusCode() >= fasthttp.StatusOK {
@@ -347,6 +350,43 @@
 	return errNoFinalResponse
 }
 
+// versionWithChunks begins a header whose body may be chunked.
+const versionWithChunks = "HTTP/1.1 "
+
+var transferEncoding = regexp.MustCompile(`(?im)^transfer-encoding[ \t]*:`)
+
+// readHeader reads one header. In other versions than HTTP/1.1, fasthttp ignores
+// Transfer-Encoding: any part of a chunked body would be a whole one that ends with
+// the connection. RFC 9112, 6.1 has such a message treated as faulty.
+func readHeader(h *fasthttp.ResponseHeader, r *bufio.Reader) error {
+	header, err := peekHeader(r)
+	if err != nil {
+		return err
+	}
+	if !bytes.HasPrefix(header, []byte(versionWithChunks)) && transferEncoding.Match(header) {
+		return errFaultyFraming
+	}
+	return h.Read(r)
+}
+
+// peekHeader waits until r has buffered a whole header and returns it without the
+// empty lines that precede it. It is valid until r is used again.
+func peekHeader(r *bufio.Reader) ([]byte, error) {
+	for {
+		buffered, err := r.Peek(r.Buffered())
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		header := bytes.TrimLeft(buffered, "\r\n")
+		if end := bytes.Index(header, []byte("\r\n\r\n")); end >= 0 {
+			return header[:end], nil
+		}
+		if _, err := r.Peek(len(buffered) + 1); err != nil {
+			return nil, errors.Wrap(err, "read response header")
+		}
+	}
+}
+
 func markInterrupted(err error) error {
 	return errors.Mark(errors.Wrap(err, "exchange with target"), ErrInterrupted)
 }
