io/connection/dfutarget: refuse a header with a second status line

Cause: after a target had stopped in an answer's head and sent another answer behind it on the same connection, fasthttp parsed both as one head, with the first status and the fields of both. A request got another request's body with status 200 if its own head was cut within the seal, or its own body with the status of a late answer, 503 among them for a request that had run. Change: a header that contains a second status line (version and three digits) is faulty, so that the request has no answer. A field that quotes a whole status line costs the answer; a protocol alone, as in Via, does not. Not covered: a body that is cut, with another answer behind it, is filled up with that answer's bytes, which its length can't show.

--- a/io/connection/dfutarget/client.go
+++ b/io/connection/dfutarget/client.go
@@ -306,6 +306,7 @@
 	errNoFinalResponse    = errors.New("target did not send a final response")
 	errNoLength           = errors.New("response has no Content-Length and is not chunked")
 	errNoMatchingResponse = errors.New("target sent only responses to other requests")
+	errSecondStatusLine   = errors.New("response header contains a second status line")
 	errFaultyFraming      = errors.New("response has a Transfer-Encoding that its HTTP version does not define")
 )
 
@@ -353,11 +354,16 @@
 // versionWithChunks begins a header whose body may be chunked.
 const versionWithChunks = "HTTP/1.1 "
 
-var transferEncoding = regexp.MustCompile(`(?im)^transfer-encoding[ \t]*:`)
+var (
+	transferEncoding = regexp.MustCompile(`(?im)^transfer-encoding[ \t]*:`)
+	statusLine       = regexp.MustCompile(`HTTP/[0-9]\.[0-9] +[0-9]{3}`)
+)
 
 // readHeader reads one header. In other versions than HTTP/1.1, fasthttp ignores
 // Transfer-Encoding: any part of a chunked body would be a whole one that ends with
-// the connection. RFC 9112, 6.1 has such a message treated as faulty.
+// the connection. RFC 9112, 6.1 has such a message treated as faulty. A second status
+// line means that the response was cut and another one follows: fasthttp would combine
+// the fields of both.
 func readHeader(h *fasthttp.ResponseHeader, r *bufio.Reader) error {
 	header, err := peekHeader(r)
 	if err != nil {
@@ -366,6 +372,9 @@
 	if !bytes.HasPrefix(header, []byte(versionWithChunks)) && transferEncoding.Match(header) {
 		return errFaultyFraming
 	}
+	if bytes.Count(header, []byte("HTTP/")) > 1 && len(statusLine.FindAllIndex(header, 2)) > 1 {
+		return errSecondStatusLine
+	}
 	return h.Read(r)
 }
 
