--- a/io/connection/dfupeer/failure_test.go
+++ b/io/connection/dfupeer/failure_test.go
@@ -113,11 +113,12 @@
 
 // fixture is a server, a pool and the network between them.
 type fixture struct {
-	is   *is.I
-	echo *Answerer
-	net  *faultyNetwork
-	pool *Pool
-	ctx  context.Context
+	is     *is.I
+	echo   *Answerer
+	server *Server
+	net    *faultyNetwork
+	pool   *Pool
+	ctx    context.Context
 }
 
 func newFixture(t *testing.T, timing Timing, faults ...fault) *fixture {
@@ -127,6 +128,7 @@
 	server, err := NewServer(listen(b.is))
 	b.is.NoErr(err)
 	b.is.NoErr(server.Register("Echo", b.echo))
+	b.server = server
 	b.net = &faultyNetwork{Listener: listen(b.is), to: server.listener.Addr().String(), faults: faults}
 	b.pool = NewPool(timing, net.IPv4(127, 0, 0, 1))
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
