io/request/dfuadmission: take the end of a former target for no crash

Cause: a run that is cut off has the gate dial the target that it ran on. After another target was announced at another address, a former one that exited with a request at work counted as a crash of its successor: the gate cut off all requests that ran there, whose callers got 502, and refused the others until the next announcement. Change: the gate dials the target that is announced now, and drops the result if another one was announced meanwhile. Why it works: only the current target's refused connection proves that it has crashed; a former one at the same address gives the same result as before.

--- /dev/null
+++ b/io/request/dfuadmission/former_target_test.go
@@ -0,0 +1,93 @@
+package dfuadmission
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/request/dfugate"
+	"dragonflyusher/core/request/dfuoutcome"
+	"dragonflyusher/io/connection/dfutarget"
+	"dragonflyusher/io/request/dfumessage"
+
+	"github.com/matryer/is"
+)
+
+// slowTarget holds its requests until the test answers or cuts them.
+type slowTarget struct {
+	listener net.Listener
+	conns    chan net.Conn
+	client   *dfutarget.Client
+}
+
+// newSlowTarget starts a target.
+func newSlowTarget(t *testing.T) *slowTarget {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { listener.Close() })
+	s := &slowTarget{listener: listener, conns: make(chan net.Conn, 8), client: dfutarget.New(dfutarget.Config{
+		Address: dfuident.Address(listener.Addr().String()), AnswerLimit: 1 << 20, IdleLimit: 1,
+		IdleTime: dfuclock.Second, Dialect: dfutarget.Native{},
+	})}
+	t.Cleanup(s.client.Close)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					s.conns <- conn
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+// The end of a former target, which cuts the last request that it runs, must not count as a
+// crash of the target that has taken its place: the gate would cut off the requests that run
+// there and refuse all others until the next announcement.
+func TestEndOfFormerTargetIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	self := dfuident.Member{Node: "n", Incarnation: 1}
+	gate := newTestGate(t, self)
+	defer gate.Close()
+	former, current := newSlowTarget(t), newSlowTarget(t)
+	offer := func(sequence uint64) <-chan *dfumessage.Reply {
+		reply := make(chan *dfumessage.Reply, 1)
+		id := dfuident.RequestID{Entry: self, Sequence: sequence}
+		go func() {
+			reply <- gate.Offer(&dfumessage.Offer{
+				ID: id, To: self, Service: "s", Remaining: 10_000, NoClaim: true, Method: http.MethodPost, URI: "/",
+				Checksum: dfumessage.BodyChecksum(id, nil),
+			}, 0)
+		}()
+		return reply
+	}
+	gate.SetTarget(former.client, dfugate.TargetAnnounced{Service: "s", Slots: 4})
+	cut := offer(1)
+	formerConn := <-former.conns
+	gate.SetTarget(current.client, dfugate.TargetAnnounced{Service: "s", Slots: 4, NewRun: true})
+	kept := offer(2)
+	currentConn := <-current.conns
+	defer currentConn.Close()
+
+	is.NoErr(former.listener.Close())
+	is.NoErr(formerConn.Close())
+	is.Equal((<-cut).Outcome, dfuoutcome.Unknown)
+	select {
+	case reply := <-kept:
+		t.Fatalf("the request at the current target ended: %s, %s", reply.Outcome, reply.Reason)
+	case <-time.After(2 * crashRecheckDelay):
+	}
+	_, err := currentConn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+	is.NoErr(err)
+	is.Equal((<-kept).Outcome, dfuoutcome.Answered)
+}
--- a/io/request/dfuadmission/target.go
+++ b/io/request/dfuadmission/target.go
@@ -67,10 +67,7 @@
 	if c.deps.CanQueryLoad {
 		path = c.awaitHealthPath()
 	}
-	c.mu.Lock()
-	client := c.client
-	c.mu.Unlock()
-	if path != "" && client != nil {
+	if client := c.currentClient(); path != "" && client != nil {
 		ctx, cancel := context.WithTimeout(context.Background(), loadQueryTimeout)
 		defer cancel()
 		load, err := client.FetchLoad(ctx, path)
@@ -90,6 +87,7 @@
 	var result dfutarget.Result
 	var event dfugate.Event = dfugate.TargetFailed{ID: p.offer.ID, Refused: true}
 	crashed := false
+	var checked *dfutarget.Client
 	var targetErr error
 	if instr.client != nil {
 		var err error
@@ -103,7 +101,9 @@
 		case dfutarget.CompletionNotRun:
 			event = dfugate.TargetFailed{ID: p.offer.ID, Refused: true, Limit: result.ResponseMetadata.Limit}
 		case dfutarget.CompletionInterrupted:
-			crashed = instr.ctx.Err() == nil && !instr.client.Reachable()
+			// The run may have been on a former target, whose end is no crash.
+			checked = c.currentClient()
+			crashed = instr.ctx.Err() == nil && !checked.Reachable()
 			event = dfugate.TargetFailed{ID: p.offer.ID, Died: crashed}
 		}
 	}
@@ -113,6 +113,10 @@
 	if c.running[p.offer.CallerRequest]--; c.running[p.offer.CallerRequest] <= 0 {
 		delete(c.running, p.offer.CallerRequest)
 	}
+	if crashed && checked != c.client {
+		crashed = false
+		event = dfugate.TargetFailed{ID: p.offer.ID}
+	}
 	p.answer = result.Answer
 	p.result = result
 	p.targetErr = targetErr
@@ -129,16 +133,23 @@
 	if crashed {
 		c.step(dfugate.TargetCrashed{})
 	} else if instr.ctx.Err() == nil && errors.Is(targetErr, dfutarget.ErrInterrupted) {
-		c.recheckTarget(instr.client)
+		c.recheckTarget(c.client)
 	}
 }
 
+// currentClient returns the client of the target that was announced last.
+func (c *Controller) currentClient() *dfutarget.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.client
+}
+
 // crashRecheckDelay is the delay before the second check of a target that accepted a
 // connection just after it had cut off a run. A process that exits may close its
 // connections before its listener.
 const crashRecheckDelay = 50 * time.Millisecond
 
-// recheckTarget checks once more whether the target that cut off a run has crashed.
+// recheckTarget checks once more whether the target has crashed after a run was cut off.
 // Checks that overlap count as one. The caller must hold c.mu.
 func (c *Controller) recheckTarget(client *dfutarget.Client) {
 	if c.rechecking {
