io/request/dfuadmission: apply no limit or load of a former run

Cause: the answer of a former run of the target, or to a load query that it received, set the rate limit and the slowdown of the run announced since. The gate then refused requests that the new run had room for, until an answer to a later request corrected it. Change: a run and a load query carry the number of the target's run. What another run stated of itself is dropped; its answer is returned as before. Why it works: the number changes with each announcement of a new run, under the lock under which requests are handed over.

--- a/io/request/dfuadmission/controller.go
+++ b/io/request/dfuadmission/controller.go
@@ -79,6 +79,8 @@
 	sealReply *dfumessage.SealReply
 	replies   *replyCache
 	client    *dfutarget.Client
+	// targetRun is the current run of the target.
+	targetRun targetRun
 	// rechecking is set while a check whether the target has crashed is due.
 	rechecking bool
 	draining   bool
@@ -88,6 +90,9 @@
 	measuring *dfubudget.MeasuringBudget
 }
 
+// targetRun numbers the runs of the target's process that were announced.
+type targetRun uint64
+
 // New returns a Controller that has no target until SetTarget is called.
 func New(deps Deps) *Controller {
 	c := &Controller{
--- a/io/request/dfuadmission/offer.go
+++ b/io/request/dfuadmission/offer.go
@@ -50,6 +50,7 @@
 	reply     *dfumessage.Reply
 	ctx       context.Context
 	client    *dfutarget.Client
+	targetRun targetRun
 	remaining dfuclock.Duration
 }
 
--- a/io/request/dfuadmission/target.go
+++ b/io/request/dfuadmission/target.go
@@ -21,6 +21,9 @@
 		c.client.Close()
 	}
 	c.client = client
+	if announced, ok := event.(dfugate.TargetAnnounced); ok && announced.NewRun {
+		c.targetRun++
+	}
 	c.step(event)
 }
 
@@ -34,7 +37,7 @@
 	c.running[p.offer.CallerRequest]++
 	c.runs.Inc(1)
 	p.span.AddEvent("handed_over")
-	p.instructions <- instruction{ctx: ctx, client: c.client, remaining: a.Remaining}
+	p.instructions <- instruction{ctx: ctx, client: c.client, targetRun: c.targetRun, remaining: a.Remaining}
 }
 
 // loadQueryTimeout bounds a query for the target's load, which a target is expected
@@ -67,7 +70,8 @@
 	if c.deps.CanQueryLoad {
 		path = c.awaitHealthPath()
 	}
-	if client := c.currentClient(); path != "" && client != nil {
+	client, run := c.currentTarget()
+	if path != "" && client != nil {
 		ctx, cancel := context.WithTimeout(context.Background(), loadQueryTimeout)
 		defer cancel()
 		load, err := client.FetchLoad(ctx, path)
@@ -77,7 +81,12 @@
 			c.deps.Log.Debug("target load query failed", zap.Error(err))
 		}
 	}
-	c.Notify(event)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if run != c.targetRun {
+		event = dfugate.TargetLoadUnavailable{}
+	}
+	c.step(event)
 }
 
 // runOnTarget runs a request on the target and passes the result to the machine.
@@ -102,7 +111,7 @@
 			event = dfugate.TargetFailed{ID: p.offer.ID, Refused: true, Limit: result.ResponseMetadata.Limit}
 		case dfutarget.CompletionInterrupted:
 			// The run may have been on a former target, whose end is no crash.
-			checked = c.currentClient()
+			checked, _ = c.currentTarget()
 			crashed = instr.ctx.Err() == nil && !checked.Reachable()
 			event = dfugate.TargetFailed{ID: p.offer.ID, Died: crashed}
 		}
@@ -121,6 +130,11 @@
 	p.result = result
 	p.targetErr = targetErr
 	c.surplusAnswers.Inc(int64(result.Exchange.Skipped))
+	if instr.targetRun != c.targetRun {
+		// What a former run states does not apply to the current one.
+		event = withoutLimit(event)
+		result.ResponseMetadata.Load = nil
+	}
 	if result.ResponseMetadata.Load != nil {
 		c.step(dfugate.TargetLoadReported{Load: *result.ResponseMetadata.Load})
 	}
@@ -137,11 +151,25 @@
 	}
 }
 
-// currentClient returns the client of the target that was announced last.
-func (c *Controller) currentClient() *dfutarget.Client {
+// withoutLimit returns the result of a run without the rate limit that the target stated.
+func withoutLimit(event dfugate.Event) dfugate.Event {
+	switch e := event.(type) {
+	case dfugate.TargetDone:
+		e.Limit = 0
+		return e
+	case dfugate.TargetFailed:
+		e.Limit = 0
+		return e
+	default:
+		return event
+	}
+}
+
+// currentTarget returns the client and the run of the target that was announced last.
+func (c *Controller) currentTarget() (*dfutarget.Client, targetRun) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.client
+	return c.client, c.targetRun
 }
 
 // crashRecheckDelay is the delay before the second check of a target that accepted a
