core/request/dfuclaim: match the result of a table write to its write

Cause: a table from a peer ends a write that waits for its result, and the next write can begin before that result arrives, if the first had been sent again after a lost reply. The late result was taken for that of the next write. After a rejection, a copy holder that was leaving stated that it would never take over, so that the owner granted alone, while its own takeover could still take effect: two nodes then own a shard, and a request with a key can run twice. Seen by reading and in the test, not in a deployment; only services with keys are affected. Change: a WriteResult names the revision that its write expected, and a result for another revision is ignored. Why it works: a write is ended only by a table above the revision it expects, and the next write expects at least that table's, so the two differ.

--- a/core/request/dfuclaim/action.go
+++ b/core/request/dfuclaim/action.go
@@ -48,7 +48,8 @@
 
 // WriteTable requests a compare-and-swap of the table: it is replaced if it is
 // still at revision Expect, where zero means that no table exists. The result
-// arrives as a WriteResult event. At most one write is outstanding.
+// arrives as a WriteResult event. At most one write is outstanding, apart from one that a
+// newer table has ended.
 type WriteTable struct {
 	Expect dfuident.Revision
 	Table  Table
--- a/core/request/dfuclaim/event.go
+++ b/core/request/dfuclaim/event.go
@@ -74,9 +74,11 @@
 	Window dfuclock.Duration
 }
 
-// WriteResult is the result of the outstanding WriteTable.
+// WriteResult is the result of a WriteTable.
 type WriteResult struct {
 	Status WriteStatus
+	// Expect is that of the WriteTable.
+	Expect dfuident.Revision
 	// Revision is the table's new revision if the write was accepted.
 	Revision dfuident.Revision
 }
--- a/core/request/dfuclaim/simulation_test.go
+++ b/core/request/dfuclaim/simulation_test.go
@@ -326,7 +326,7 @@
 		if len(s.lateWrites) == 0 {
 			s.lateWrites = append(s.lateWrites, op)
 			s.logf(n, "store holds the write")
-			reply(dfuclaim.WriteResult{Status: dfuclaim.WriteUncertain})
+			reply(dfuclaim.WriteResult{Status: dfuclaim.WriteUncertain, Expect: op.write.Expect})
 			return
 		}
 		s.storeOps = slices.Insert(s.storeOps, 0, s.lateWrites[0])
@@ -355,6 +355,7 @@
 			n.store = storeDown
 		}
 	}
+	result.Expect = op.write.Expect
 	if n != nil {
 		s.logf(n, "store %s", result.Status)
 	}
--- a/core/request/dfuclaim/store.go
+++ b/core/request/dfuclaim/store.go
@@ -138,11 +138,13 @@
 	m.emit(WriteTable{Expect: m.revision, Table: table.clone()})
 }
 
-// onWriteResult completes the pending write unless its outcome is uncertain.
+// onWriteResult completes the pending write unless its outcome is uncertain. It ignores the
+// result of an earlier write, which a newer table has ended. No two writes expect the same
+// revision, except for repetitions of one.
 func (m *Machine) onWriteResult(e WriteResult) {
 	st := &m.store
 	w := st.pending
-	if w == nil {
+	if w == nil || e.Expect != w.expect {
 		return
 	}
 	switch {
--- a/io/request/dfuclaimer/calls.go
+++ b/io/request/dfuclaimer/calls.go
@@ -67,20 +67,21 @@
 // writeTable makes one conditional write. An error counts as rejected only if the
 // write can't take effect, now or later; any other error leaves the result uncertain.
 func (c *Claimer) writeTable(ctx context.Context, call storeCall) dfuclaim.WriteResult {
+	result := dfuclaim.WriteResult{Status: dfuclaim.WriteRejected, Expect: call.writeTable.Expect}
 	value, err := call.writeTable.Table.Encode()
 	if err != nil {
 		c.deps.Log.Error("failed to encode the claim table", zap.Error(err))
-		return dfuclaim.WriteResult{Status: dfuclaim.WriteRejected}
+		return result
 	}
-	revision, err := c.deps.Store.CompareAndSwap(ctx, dfustore.ClaimsKey(call.service), call.writeTable.Expect, value, 0)
+	revision, err := c.deps.Store.CompareAndSwap(ctx, dfustore.ClaimsKey(call.service), result.Expect, value, 0)
 	switch {
 	case err == nil:
-		return dfuclaim.WriteResult{Status: dfuclaim.WriteAccepted, Revision: revision}
+		result.Status, result.Revision = dfuclaim.WriteAccepted, revision
 	case errors.IsAny(err, dfustore.ErrConflict, dfustore.ErrUnavailable, dfustore.ErrTooLarge):
-		return dfuclaim.WriteResult{Status: dfuclaim.WriteRejected}
 	default:
-		return dfuclaim.WriteResult{Status: dfuclaim.WriteUncertain}
+		result.Status = dfuclaim.WriteUncertain
 	}
+	return result
 }
 
 // sendMessages sends the messages of one queue. Consecutive messages to the same
