io/request/dfuadmission: state not_run after the end only for new offers

Cause: a gate that has ended answered every offer as not run, also one whose request it had run before. Its contract holds for repeated and late offers. Change: an ended gate asks its machine, as a seal does: what it has had is unknown unless it was refused, what it has not had is not run. Why it works: the machine holds the outcome of each offer until its entry node has settled it, and answers unknown for what it no longer holds.

--- a/io/request/dfuadmission/not_run_test.go
+++ b/io/request/dfuadmission/not_run_test.go
@@ -149,3 +149,30 @@
 		is.True(seen)
 	}
 }
+
+// A gate that has ended must not state that a request has not run which it ran before, if the
+// offer comes once more. It still states so for an offer that it has not had, so that the
+// request can go to another target.
+func TestEndedGateKnowsWhatRan(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	self := dfuident.Member{Node: "gate", Incarnation: 1}
+	gate := newTestGate(t, self)
+	client := dfutarget.New(dfutarget.Config{
+		Address: dfuident.Address(strings.TrimPrefix(server.URL, "http://")), AnswerLimit: 1 << 20, Dialect: dfutarget.Native{},
+	})
+	gate.SetTarget(client, dfugate.TargetAnnounced{Service: "s", Slots: 1})
+	offer := func(sequence uint64) *dfumessage.Reply {
+		id := dfuident.RequestID{Entry: dfuident.Member{Node: "entry", Incarnation: 1}, Sequence: sequence}
+		return gate.Offer(&dfumessage.Offer{
+			ID: id, To: self, Service: "s", Remaining: 5000, NoClaim: true, Method: http.MethodPost, URI: "/",
+			Checksum: dfumessage.BodyChecksum(id, nil),
+		}, 0)
+	}
+	is.Equal(offer(1).Outcome, dfuoutcome.Answered)
+	gate.Close()
+	is.Equal(offer(1).Outcome, dfuoutcome.Unknown)
+	is.Equal(offer(2).Outcome, dfuoutcome.NotRun)
+	is.Equal(offer(2).Reason, dfuoutcome.ReasonDraining)
+}
--- a/io/request/dfuadmission/offer.go
+++ b/io/request/dfuadmission/offer.go
@@ -86,7 +86,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.stopped {
-		return nil, refusalReply(offer.ID, dfuoutcome.ReasonDraining)
+		return nil, c.replyAfterClose(offer.ID)
 	}
 	if c.pending[offer.ID] != nil {
 		return nil, unknownReply(offer.ID, dfuoutcome.ReasonStaleRequest)
@@ -97,6 +97,17 @@
 	return p, nil
 }
 
+// replyAfterClose refuses an offer after Close. If the offer came before, its request may have
+// run. The actions of the machine are not executed.
+func (c *Controller) replyAfterClose(id dfuident.RequestID) *dfumessage.Reply {
+	for _, action := range c.deps.Machine.Step(c.deps.Clock.Now(), dfugate.Seal{ID: id}) {
+		if a, ok := action.(dfugate.SealAnswer); ok && sealState(a.State) == dfumessage.SealNever {
+			return refusalReply(id, dfuoutcome.ReasonDraining)
+		}
+	}
+	return unknownReply(id, dfuoutcome.ReasonDraining)
+}
+
 // Cancel reports to the gate that the entry node no longer waits for the request.
 func (c *Controller) Cancel(cancel dfumessage.Cancel) {
 	c.Notify(dfugate.Cancel{ID: cancel.ID, Reason: cancel.Reason})
