--- a/io/connection/dfutarget/client.go
+++ b/io/connection/dfutarget/client.go
@@ -180,7 +180,7 @@
 		if cn == nil {
 			break
 		}
-		if time.Now().Before(cn.idleUntil) && cn.alive() {
+		if time.Now().Before(cn.idleUntil) && dfudial.IsQuiet(cn.Conn) {
 			return cn, nil
 		}
 		cn.Close()
--- a/io/connection/dfutarget/failure_test.go
+++ b/io/connection/dfutarget/failure_test.go
@@ -17,6 +17,7 @@
 
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/io/connection/dfudial"
 	"dragonflyusher/io/request/dfumessage"
 
 	"github.com/cockroachdb/errors"
@@ -165,7 +166,7 @@
 			_, err := run(client, "GET", true, nil)
 			is.NoErr(err)
 			if c.closes { // wait until the client has received the close
-				for cn := client.requests.idle[0]; cn.alive(); {
+				for cn := client.requests.idle[0]; dfudial.IsQuiet(cn.Conn); {
 					time.Sleep(time.Millisecond)
 				}
 			}
--- a/io/connection/dfutarget/pool.go
+++ b/io/connection/dfutarget/pool.go
@@ -5,13 +5,11 @@
 	"net"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"dragonflyusher/core/process/dfuclock"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 )
 
 // maxIdleQueryConns is the maximum number of idle connections for load queries and health
@@ -103,25 +101,3 @@
 	p.idle = nil
 	p.limit = 0
 }
-
-// alive reports whether an idle connection is open and has no unread data. It
-// peeks at the socket, because a Read with an expired deadline returns before it
-// reaches the kernel.
-func (cn *conn) alive() bool {
-	raw, ok := cn.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	empty := false
-	err = control.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		empty = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && empty
-}
