io/connection/dfudial: find a connection quiet after its deadline

Cause: IsQuiet peeked through RawConn.Read, which returns before it reaches the kernel once the read deadline has passed. The store's connections keep that of their last call. A connection idle for longer than the call's time-out (2 s by default, 5 s is the limit for idle ones) was closed without need and the next call opened another. Change: it peeks through Control, which has no deadline.

--- a/io/connection/dfudial/quiet.go
+++ b/io/connection/dfudial/quiet.go
@@ -8,7 +8,8 @@
 )
 
 // IsQuiet reports whether a connection is open and has no unread data. It peeks at the
-// socket, because a Read with an expired deadline returns before it reaches the kernel.
+// socket through Control, because both Read and RawConn.Read return before they reach the
+// kernel if the deadline has passed.
 func IsQuiet(conn net.Conn) bool {
 	raw, ok := conn.(syscall.Conn)
 	if !ok {
@@ -19,11 +20,10 @@
 		return false
 	}
 	empty := false
-	err = control.Read(func(fd uintptr) bool {
+	err = control.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		empty = errors.Is(err, syscall.EAGAIN)
-		return true
 	})
 	return err == nil && empty
 }
