core/request: test that a target that failed is not chosen again

Cause: recordReached is called in three places, and only the one for a refusal had a test: with either of the others taken out, all tests of core passed. Change: TestTargetThatFailedIsNotChosenAgain, for an error answer and for none. Result: each case fails without its call (run on a scratch copy) and passes with it.

--- a/core/request/refused_target_test.go
+++ b/core/request/refused_target_test.go
@@ -34,3 +34,34 @@
 	is.Equal(finish.Outcome, dfuoutcome.NotRun)
 	is.Equal(finish.Reason, dfuoutcome.ReasonTargetRefused)
 }
+
+// The same held for an idempotent request that a target had failed, or may have run.
+func TestTargetThatFailedIsNotChosenAgain(t *testing.T) {
+	for name, reply := range map[string]dfuattempt.Replied{
+		"error answer": {Outcome: dfuoutcome.Answered, TargetError: true},
+		"no answer":    {Outcome: dfuoutcome.Unknown, Reason: dfuoutcome.ReasonTargetDied},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			place := dfuident.Place{Region: "r1", Zone: "z1"}
+			chooser := dfuchoice.New(dfuchoice.MinLossSettings(), rand.New(rand.NewPCG(1, 1)))
+			chooser.SetTargets(0, "lager", []dfuchoice.Target{{Member: member("a"), Place: place, Slots: 4}})
+			cfg := dfuattempt.DefaultConfig()
+			cfg.RetryErrors = true
+			machine := dfuattempt.New(cfg, member("entry"), place, chooser, &attemptSession{tokens: 100})
+			actions := machine.Step(0, dfuattempt.Arrived{
+				Request: 1, Service: "lager", Idempotent: true, Remaining: dfuclock.Second, Targets: 3, Allowance: 3,
+			})
+			for _, next := range []dfuattempt.Replied{{Outcome: dfuoutcome.NotRun, Reason: dfuoutcome.ReasonQueueFull}, reply} {
+				is.Equal(len(actions), 1)
+				send, ok := actions[0].(dfuattempt.Send)
+				is.True(ok)
+				next.ID = send.ID
+				actions = machine.Step(1, next)
+			}
+			is.Equal(len(actions), 1)
+			_, ok := actions[0].(dfuattempt.Finish)
+			is.True(ok)
+		})
+	}
+}
