io/connection/dfutarget: keep trailers out of the header

Cause: the fields behind the chunks of an answer were added to those of its head. A 200 with X-Not-Executed there was "not run" for a request that the target ran. Change: trailers are read and dropped; they are no longer passed on as fields of the head either (RFC 9110, 6.5.1 allows that only for fields known to permit it). Result: TestTrailersStateNothingOfRequest failed before and passes, as do the tests of dfutarget and those of cuts and copies in platform, with -race.

--- a/io/connection/dfutarget/client.go
+++ b/io/connection/dfutarget/client.go
@@ -330,7 +330,9 @@
 		if err := body.readChunks(r); err != nil {
 			return err
 		}
-		return resp.Header.ReadTrailer(r)
+		// Trailers are no part of the header, which states whether the request ran.
+		var trailers fasthttp.ResponseHeader
+		return trailers.ReadTrailer(r)
 	default:
 		return body.readLength(r, length)
 	}
