io/connection/dfutarget: name what a connection pool needs

Cause: a review stumbled over a negated flag, over a method that records under the name of a question, and over a comment on the pools that no longer held. Change: needsID and recordAnswer; comments on Refusal and on the runs of a target. Result: no change of logic; the tests of io/connection, io/request, core/request and platform's on copies, cuts, limits and the store pass.

--- a/io/connection/dfutarget/client.go
+++ b/io/connection/dfutarget/client.go
@@ -58,8 +58,7 @@
 type Client struct {
 	cfg Config
 	// requests holds the connections of requests, and queries those of load queries and
-	// health checks. The answer to a query bears no id. A copy of it that arrives where
-	// the answer to a request is due could not be detected.
+	// health checks, whose answers bear no id.
 	requests, queries connPool
 }
 
@@ -81,7 +80,7 @@
 
 // New returns a client for the target that cfg describes.
 func New(cfg Config) *Client {
-	return &Client{cfg: cfg, requests: connPool{limit: cfg.IdleLimit}, queries: connPool{unidentified: true, limit: maxIdleQueryConns}}
+	return &Client{cfg: cfg, requests: connPool{needsID: true, limit: cfg.IdleLimit}, queries: connPool{limit: maxIdleQueryConns}}
 }
 
 // Instance returns the id of the run of the target's process.
@@ -108,7 +107,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
 	result, reusable, err := c.exchange(cn, offer, fill)
-	if !stop() || err != nil || !reusable || !pool.accepts(cn, id, result.ResponseMetadata) {
+	if !stop() || err != nil || !reusable || !pool.recordAnswer(cn, id, result.ResponseMetadata) {
 		cn.Close()
 	} else {
 		pool.put(cn, c.idleTime(result.ResponseMetadata))
--- a/io/connection/dfutarget/dialect.go
+++ b/io/connection/dfutarget/dialect.go
@@ -40,7 +40,8 @@
 	Invalid error
 	// NotRun is set if the target states that it did not run the request.
 	NotRun bool
-	// Refusal is set if the response states that, or its status alone does.
+	// Refusal is set if NotRun is set or the status alone means that. In the latter case
+	// the target may still have run the request.
 	Refusal bool
 	// Replaced is set if another instance now uses the target's address.
 	Replaced bool
--- a/io/connection/dfutarget/pool.go
+++ b/io/connection/dfutarget/pool.go
@@ -44,10 +44,9 @@
 
 // connPool holds idle connections to the target. It is safe for concurrent use.
 type connPool struct {
-	// unidentified is set if the answers on the connections need no id. Otherwise, a
-	// connection is closed after an answer without one, since a copy of that answer
-	// could not be told from the next.
-	unidentified bool
+	// needsID is set if a connection is closed after an answer that doesn't bear the id
+	// of its request, since a copy of that answer could not be told from the next one.
+	needsID bool
 
 	mu    sync.Mutex
 	idle  []*conn
@@ -68,11 +67,11 @@
 	return nil
 }
 
-// accepts reports whether a connection may be reused after the answer to a request, and
-// records the request if it was refused.
-func (p *connPool) accepts(cn *conn, id answerIDHash, metadata ResponseMetadata) bool {
+// recordAnswer records the answer to a request on a connection and reports whether the
+// connection may be reused.
+func (p *connPool) recordAnswer(cn *conn, id answerIDHash, metadata ResponseMetadata) bool {
 	if !metadata.Refusal {
-		return p.unidentified || metadata.Identified
+		return metadata.Identified || !p.needsID
 	}
 	cn.refused = append(cn.refused, id)
 	return metadata.Identified && len(cn.refused) < maxRefusalsPerConn
--- a/io/request/dfuadmission/controller.go
+++ b/io/request/dfuadmission/controller.go
@@ -90,7 +90,8 @@
 	measuring *dfubudget.MeasuringBudget
 }
 
-// targetRun numbers the runs of the target's process that were announced.
+// targetRun numbers the runs of the target's process that were announced. Unlike the
+// instance, it is known for targets without an id as well.
 type targetRun uint64
 
 // New returns a Controller that has no target until SetTarget is called.
