core/request/dfuattempt: reject a repetition that only refusing targets are left for

Cause: without an eligible target its reason was no_target, which is transient. Change: a repetition begins with the reason of the refusal, which is final, as it is when no second target is found in the first try. Result: TestRepetitionWithoutOtherTargetIsFinal failed before; core/request and dfudispatch pass.

--- a/core/request/dfuattempt/arrive.go
+++ b/core/request/dfuattempt/arrive.go
@@ -31,7 +31,10 @@
 		allowance:  e.Allowance,
 		owner:      e.Owner,
 		targets:    e.Targets,
-		excluded:   slices.Clone(e.Excluded),
+		excluded:   slices.Clone(e.RefusedBy),
+	}
+	if len(e.RefusedBy) > 0 {
+		r.reason = dfuoutcome.ReasonTargetRefused
 	}
 	if e.Objective > 0 {
 		r.objective = now.Add(e.Objective)
--- a/core/request/dfuattempt/event.go
+++ b/core/request/dfuattempt/event.go
@@ -44,8 +44,9 @@
 	// Targets is the maximum number of targets that the request may be handed to; zero
 	// means that only the budget limits it.
 	Targets int
-	// Excluded lists the nodes that must not be chosen.
-	Excluded []dfuident.NodeID
+	// RefusedBy lists the nodes whose targets refused the request before. They are not
+	// chosen.
+	RefusedBy []dfuident.NodeID
 }
 
 // CallerGone reports that the caller no longer waits for the request.
--- a/core/request/refused_target_test.go
+++ b/core/request/refused_target_test.go
@@ -13,14 +13,19 @@
 	"github.com/matryer/is"
 )
 
+// newMachineWithOneTarget returns the machine of an entry node whose only target is at node a.
+func newMachineWithOneTarget(cfg dfuattempt.Config) *dfuattempt.Machine {
+	place := dfuident.Place{Region: "r1", Zone: "z1"}
+	chooser := dfuchoice.New(dfuchoice.MinLossSettings(), rand.New(rand.NewPCG(1, 1)))
+	chooser.SetTargets(0, "lager", []dfuchoice.Target{{Member: member("a"), Place: place, Slots: 4}})
+	return dfuattempt.New(cfg, member("entry"), place, chooser, &attemptSession{tokens: 100})
+}
+
 // A request was sent once more to a target that had refused it, after the target's gate
 // had refused it as busy.
 func TestTargetThatRefusedIsNotChosenAgain(t *testing.T) {
 	is := is.New(t)
-	place := dfuident.Place{Region: "r1", Zone: "z1"}
-	chooser := dfuchoice.New(dfuchoice.MinLossSettings(), rand.New(rand.NewPCG(1, 1)))
-	chooser.SetTargets(0, "lager", []dfuchoice.Target{{Member: member("a"), Place: place, Slots: 4}})
-	machine := dfuattempt.New(dfuattempt.DefaultConfig(), member("entry"), place, chooser, &attemptSession{tokens: 100})
+	machine := newMachineWithOneTarget(dfuattempt.DefaultConfig())
 	actions := machine.Step(0, dfuattempt.Arrived{Request: 1, Service: "lager", Remaining: dfuclock.Second, Targets: 3, Allowance: 3})
 	for _, reason := range []dfuoutcome.Reason{dfuoutcome.ReasonQueueFull, dfuoutcome.ReasonTargetRefused} {
 		is.Equal(len(actions), 1)
@@ -43,12 +48,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			place := dfuident.Place{Region: "r1", Zone: "z1"}
-			chooser := dfuchoice.New(dfuchoice.MinLossSettings(), rand.New(rand.NewPCG(1, 1)))
-			chooser.SetTargets(0, "lager", []dfuchoice.Target{{Member: member("a"), Place: place, Slots: 4}})
 			cfg := dfuattempt.DefaultConfig()
 			cfg.RetryErrors = true
-			machine := dfuattempt.New(cfg, member("entry"), place, chooser, &attemptSession{tokens: 100})
+			machine := newMachineWithOneTarget(cfg)
 			actions := machine.Step(0, dfuattempt.Arrived{
 				Request: 1, Service: "lager", Idempotent: true, Remaining: dfuclock.Second, Targets: 3, Allowance: 3,
 			})
@@ -65,3 +67,20 @@
 		})
 	}
 }
+
+// A request that is repeated waited for a target although the only one had refused it.
+func TestRepetitionWithoutOtherTargetIsFinal(t *testing.T) {
+	is := is.New(t)
+	machine := newMachineWithOneTarget(dfuattempt.DefaultConfig())
+	actions := machine.Step(0, dfuattempt.Arrived{
+		Request: 1, Service: "lager", Remaining: dfuclock.Second, Targets: 3, RefusedBy: []dfuident.NodeID{member("a").Node},
+	})
+	is.Equal(len(actions), 1)
+	finish, ok := actions[0].(dfuattempt.Finish)
+	is.True(ok)
+	is.Equal(finish.Outcome, dfuoutcome.NotRun)
+	is.Equal(finish.Reason, dfuoutcome.ReasonTargetRefused)
+	var backoff dfuattempt.RepeatBackoff
+	_, repeats := backoff.After(finish.Outcome, finish.Reason, dfuclock.Second)
+	is.True(!repeats)
+}
--- a/io/request/dfudispatch/serve.go
+++ b/io/request/dfudispatch/serve.go
@@ -133,14 +133,14 @@
 	return min(call.Remaining, call.Route.TargetLatency/waitDivisor-waited)
 }
 
-// tryOnce passes the call to the machine once and waits for the result. No node in excluded
-// is chosen. tryOnce also returns the nodes whose targets refused the call.
-func (d *Dispatcher) tryOnce(call dfufront.Call, c *callerWatch, excluded []dfuident.NodeID) (dfufront.Result, []dfuident.NodeID) {
+// tryOnce passes the call to the machine once and waits for the result. refusedBy lists the
+// nodes whose targets refused the call before; tryOnce also returns those that refused it now.
+func (d *Dispatcher) tryOnce(call dfufront.Call, c *callerWatch, refusedBy []dfuident.NodeID) (dfufront.Result, []dfuident.NodeID) {
 	r, refused := d.admit(call)
 	if refused != nil {
 		return *refused, nil
 	}
-	r.event.Excluded = excluded
+	r.event.RefusedBy = refusedBy
 	result := d.await(r, c)
 	d.mu.Lock()
 	defer d.mu.Unlock()
