io/request/dfuadmission: suspect no request of a former target of a crash

Cause: the gate dials the current target since, also for the run at a former one. Change: a result of a former run doesn't state that its target died.

--- a/io/request/dfuadmission/former_target_test.go
+++ b/io/request/dfuadmission/former_target_test.go
@@ -105,6 +105,22 @@
 	is.Equal((<-kept).Outcome, dfuoutcome.Answered)
 }
 
+// A request that a former target cut off must not count as one at work in a crash of the
+// current target: it would become suspect of crashing targets, and be refused.
+func TestRequestAtFormerTargetIsNoCrashSuspect(t *testing.T) {
+	is := is.New(t)
+	gate := newTestGate(t, dfuident.Member{Node: "n", Incarnation: 1})
+	defer gate.Close()
+	former, current := newSlowTarget(t, dfutarget.Native{}), newSlowTarget(t, dfutarget.Native{})
+	gate.SetTarget(former.client, dfugate.TargetAnnounced{Service: "s", Slots: 4})
+	cut := startOffer(gate, 1)
+	conn := <-former.conns
+	gate.SetTarget(current.client, dfugate.TargetAnnounced{Service: "s", Slots: 4, NewRun: true})
+	is.NoErr(current.listener.Close())
+	is.NoErr(conn.Close())
+	is.Equal((<-cut).Reason, dfuoutcome.ReasonTargetLinkLost)
+}
+
 // A late answer of a former run of the target must not set the rate limit or the load of the
 // current one, which would refuse requests that it has room for.
 func TestAnswerOfFormerRunSetsNoLimit(t *testing.T) {
--- a/io/request/dfuadmission/target.go
+++ b/io/request/dfuadmission/target.go
@@ -131,8 +131,7 @@
 	p.targetErr = targetErr
 	c.surplusAnswers.Inc(int64(result.Exchange.Skipped))
 	if instr.targetRun != c.targetRun {
-		// What a former run states does not apply to the current one.
-		event = withoutLimit(event)
+		event = ofFormerRun(event)
 		result.ResponseMetadata.Load = nil
 	}
 	if result.ResponseMetadata.Load != nil {
@@ -151,14 +150,15 @@
 	}
 }
 
-// withoutLimit returns the result of a run without the rate limit that the target stated.
-func withoutLimit(event dfugate.Event) dfugate.Event {
+// ofFormerRun returns the result of a run at a former target without what it states of the
+// current one: the rate limit, and whether that one has crashed.
+func ofFormerRun(event dfugate.Event) dfugate.Event {
 	switch e := event.(type) {
 	case dfugate.TargetDone:
 		e.Limit = 0
 		return e
 	case dfugate.TargetFailed:
-		e.Limit = 0
+		e.Limit, e.Died = 0, false
 		return e
 	default:
 		return event
