io/connection/dfutarget: move the reading of headers to a file of its own

Cause: client.go mixed the exchange with the parsing of headers. Change: header.go; no function changed.

--- /dev/null
+++ b/io/connection/dfutarget/header.go
@@ -0,0 +1,81 @@
+package dfutarget
+
+import (
+	"bufio"
+	"bytes"
+	"regexp"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// maxHeaderReads is the maximum number of response headers that are read in search
+// of the final one. Interim responses, such as 103 Early Hints, are skipped.
+const maxHeaderReads = 16
+
+var (
+	errNoFinalResponse  = errors.New("target did not send a final response")
+	errSecondStatusLine = errors.New("response header contains a second status line")
+	errFaultyFraming    = errors.New("response has a Transfer-Encoding that its HTTP version does not define")
+)
+
+// readFinalHeader reads the header of the final response.
+func readFinalHeader(h *fasthttp.ResponseHeader, r *bufio.Reader) error {
+	for range maxHeaderReads {
+		if err := readHeader(h, r); err != nil {
+			return err
+		}
+		if h.StatusCode() >= fasthttp.StatusOK {
+			return nil
+		}
+		if h.StatusCode() == fasthttp.StatusSwitchingProtocols {
+			break
+		}
+	}
+	return errNoFinalResponse
+}
+
+// versionWithChunks begins a header whose body may be chunked.
+const versionWithChunks = "HTTP/1.1 "
+
+var (
+	transferEncoding = regexp.MustCompile(`(?im)^transfer-encoding[ \t]*:`)
+	statusLine       = regexp.MustCompile(`HTTP/[0-9]\.[0-9] +[0-9]{3}`)
+)
+
+// readHeader reads one header. In other versions than HTTP/1.1, fasthttp ignores
+// Transfer-Encoding: any part of a chunked body would be a whole one that ends with
+// the connection. RFC 9112, 6.1 has such a message treated as faulty. A second status
+// line means that the response was cut and another one follows: fasthttp would combine
+// the fields of both.
+func readHeader(h *fasthttp.ResponseHeader, r *bufio.Reader) error {
+	header, err := peekHeader(r)
+	if err != nil {
+		return err
+	}
+	if !bytes.HasPrefix(header, []byte(versionWithChunks)) && transferEncoding.Match(header) {
+		return errFaultyFraming
+	}
+	if bytes.Count(header, []byte("HTTP/")) > 1 && len(statusLine.FindAllIndex(header, 2)) > 1 {
+		return errSecondStatusLine
+	}
+	return h.Read(r)
+}
+
+// peekHeader waits until r has buffered a whole header and returns it without the
+// empty lines that precede it. It is valid until r is used again.
+func peekHeader(r *bufio.Reader) ([]byte, error) {
+	for {
+		buffered, err := r.Peek(r.Buffered())
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		header := bytes.TrimLeft(buffered, "\r\n")
+		if end := bytes.Index(header, []byte("\r\n\r\n")); end >= 0 {
+			return header[:end], nil
+		}
+		if _, err := r.Peek(len(buffered) + 1); err != nil {
+			return nil, errors.Wrap(err, "read response header")
+		}
+	}
+}
