--- a/io/connection/dfutarget/pool.go
+++ b/io/connection/dfutarget/pool.go
@@ -45,7 +45,7 @@
 // connPool holds idle connections to the target. It is safe for concurrent use.
 type connPool struct {
 	// needsID is set if a connection is closed after an answer that doesn't bear the id
-	// of its request, since a copy of that answer could not be told from the next one.
+	// of its request, since a copy of that answer can't be distinguished from the next one.
 	needsID bool
 
 	mu    sync.Mutex
