--- a/io/process/dfucontrol/owner.go
+++ b/io/process/dfucontrol/owner.go
@@ -30,6 +30,12 @@
 	statusStale  bool
 	// storeLost is the state that the keeper was last informed of.
 	storeLost bool
+	// startedAt is when the loop began to run.
+	startedAt dfuclock.Time
+	// joined is the state that was last logged, and watchingSince the time since which the
+	// node has had the role of a watcher, or zero.
+	joined        bool
+	watchingSince dfuclock.Time
 }
 
 func newEventLoop(c *Controller, member dfuident.Member) *eventLoop {
@@ -72,6 +78,7 @@
 func (l *eventLoop) run(ctx context.Context, seeds []dfumembership.Seed) error {
 	ticker := time.NewTicker(l.control.cfg.Membership.TickPeriod.Std())
 	defer ticker.Stop()
+	l.startedAt = l.control.deps.Clock.Now()
 	l.step(dfuroster.SeedsListed{Seeds: seeds}, nil)
 	for {
 		select {
@@ -166,12 +173,36 @@
 // status if it is due.
 func (l *eventLoop) updateStatus() {
 	c := l.control
+	now := c.deps.Clock.Now()
+	l.logRoles(now)
 	c.bridge.Store(l.keeper.Membership().IsBridge())
 	c.watcher.Store(l.keeper.Exchange().Watcher())
 	c.synced.Store(l.keeper.Exchange().Synced())
-	if now := c.deps.Clock.Now(); l.statusStale || !now.Before(l.nextStatusAt) {
+	if l.statusStale || !now.Before(l.nextStatusAt) {
 		l.statusStale = false
 		l.nextStatusAt = now.Add(statusPeriod)
 		c.status.Store(l.status(now))
 	}
 }
+
+// logRoles logs when the node has joined, and when it takes or leaves the role of a watcher.
+func (l *eventLoop) logRoles(now dfuclock.Time) {
+	log, membership := l.control.deps.Log, l.keeper.Membership()
+	if joined := membership.Joined(); joined != l.joined {
+		l.joined, l.statusStale = joined, true
+		log.Info("membership synchronized", zap.Bool("joined", joined),
+			zap.Int64("started_ms", int64(now.Sub(l.startedAt))), zap.Int("members", l.keeper.View().Len()))
+	}
+	if watching := l.keeper.Exchange().Watcher(); watching != (l.watchingSince != 0) {
+		rank, size := membership.WatchRank()
+		fields := []zap.Field{zap.Int("rank", rank), zap.Int("zone_size", size), zap.Bool("joined", l.joined)}
+		if watching {
+			log.Info("watcher of the store", fields...)
+			l.watchingSince = now
+		} else {
+			log.Info("no watcher of the store", append(fields, zap.Int64("watched_ms", int64(now.Sub(l.watchingSince))))...)
+			l.watchingSince = 0
+		}
+		l.statusStale = true
+	}
+}
--- a/io/process/dfucontrol/status.go
+++ b/io/process/dfucontrol/status.go
@@ -37,7 +37,12 @@
 	// Watcher and Bridge report the node's roles in its zone: a watcher watches
 	// the store, and the bridge exchanges membership with other regions and
 	// maintains the zone page.
-	Watcher    bool                     `json:"watcher"`
+	Watcher bool `json:"watcher"`
+	// WatchingFor is how long the node has been a watcher; zero if it is none.
+	WatchingFor dfuclock.Duration `json:"watching_ms"`
+	// Joined reports whether the node has synchronized its membership with a member that
+	// had, or has given up on that.
+	Joined     bool                     `json:"joined"`
 	Bridge     bool                     `json:"bridge"`
 	Membership dfumembership.Counts     `json:"membership"`
 	Exchange   dfurecord.ExchangeCounts `json:"exchange"`
@@ -71,6 +76,10 @@
 func (l *eventLoop) status(now dfuclock.Time) *Status {
 	exchange := l.keeper.Exchange()
 	standing := exchange.Standing(now)
+	var watchingFor dfuclock.Duration
+	if l.watchingSince != 0 {
+		watchingFor = now.Sub(l.watchingSince)
+	}
 	return &Status{
 		Member:            l.keeper.Membership().Self().Member,
 		HasCatalogue:      exchange.Synced(),
@@ -80,6 +89,8 @@
 		Confirmed:         standing.Confirmed,
 		Age:               standing.Age,
 		Watcher:           exchange.Watcher(),
+		WatchingFor:       watchingFor,
+		Joined:            l.keeper.Membership().Joined(),
 		Bridge:            l.keeper.Membership().IsBridge(),
 		Membership:        l.keeper.Membership().Counts(),
 		Exchange:          exchange.Counts(),
--- a/io/process/dfucontrol/watch.go
+++ b/io/process/dfucontrol/watch.go
@@ -58,6 +58,9 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
+		if err != nil {
+			c.deps.Log.Info("watch of the store ended", zap.String("prefix", w.prefix), zap.Error(err))
+		}
 		if err != nil && !errors.Is(err, dfustore.ErrCompacted) {
 			c.recordStoreFailure("watch "+w.prefix, err)
 			if w.failures++; w.failures >= failuresUntilLost || isUnanswered {
@@ -97,6 +100,7 @@
 	c.storeLost.Store(false)
 	w.failures = 0
 	w.retry.reset()
+	c.deps.Log.Info("watching the store", zap.String("prefix", w.prefix), zap.Uint64("revision", uint64(revision)))
 	relist := c.deps.Clock.Now().Add(c.cfg.ListPeriod + c.jitter(c.cfg.ListPeriod))
 	for c.watcher.Load() && c.deps.Clock.Now().Before(relist) {
 		records, next, err := c.deps.Store.Watch(ctx, w.prefix, revision, c.cfg.WatchWait)
--- a/io/process/dfunode/metrics.go
+++ b/io/process/dfunode/metrics.go
@@ -58,6 +58,8 @@
 	set(metrics.GetOrRegisterGauge("log.dropped_lines", n.metrics), int64(n.logOutput.Dropped()))
 	status := n.control.Status()
 	set(metrics.GetOrRegisterGauge("control.records_age_ms", n.metrics), int64(status.Age))
+	set(metrics.GetOrRegisterGauge("control.joined", n.metrics), boolGauge(status.Joined))
+	set(metrics.GetOrRegisterGauge("control.watching_ms", n.metrics), int64(status.WatchingFor))
 	set(metrics.GetOrRegisterGauge("control.failed_calls", n.metrics), int64(status.FailedCalls))
 	set(metrics.GetOrRegisterGauge("control.dropped", n.metrics), int64(status.InboxRefused+status.OutboxRefused))
 	set(metrics.GetOrRegisterGauge("control.fetch_timeouts", n.metrics), int64(status.Exchange.FetchTimeouts))
@@ -78,3 +80,11 @@
 		set(metrics.GetOrRegisterGauge("gate.target_limit_milli", n.metrics), int64(c.gate.Status().TargetLimit*milli))
 	}
 }
+
+// boolGauge returns 1 for true.
+func boolGauge(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
