--- a/io/process/dfucontrol/controller_test.go
+++ b/io/process/dfucontrol/controller_test.go
@@ -250,6 +250,8 @@
 	// watchWait overrides Config.WatchWait and the short Config.PagePeriod of the tests
 	// by the values of the daemon if it is positive.
 	watchWait dfuclock.Duration
+	// wrapStore wraps the access of each node to the store; nil for none.
+	wrapStore func(*nodeStore) dfucontrol.Store
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -282,8 +284,12 @@
 	cfg.Peer = dfuident.Address(fmt.Sprintf("127.0.0.1:%d", 7000+i))
 	access := &nodeStore{fakeStore: f.store}
 	f.access[cfg.Node] = access
+	var store dfucontrol.Store = access
+	if f.wrapStore != nil {
+		store = f.wrapStore(access)
+	}
 	c := dfucontrol.New(cfg, dfucontrol.Deps{
-		Store: access, PeerClient: f.net, Clock: dfuclock.New(), Wall: wall,
+		Store: store, PeerClient: f.net, Clock: dfuclock.New(), Wall: wall,
 		Rand: rand.New(rand.NewPCG(1, uint64(i))), Log: zap.NewNop(),
 	})
 	c.Announce(dfucontrol.Announcement{Target: dfumembership.Target{Service: "lager", Slots: 12}})
@@ -319,9 +325,20 @@
 }
 
 func entryValue(t *testing.T, change string) []byte {
+	t.Helper()
+	return encodeEntry(t, "lager", change)
+}
+
+// serviceValue returns the entry of the service that the change with a number adds.
+func serviceValue(t *testing.T, change int) []byte {
+	t.Helper()
+	return encodeEntry(t, dfuident.Service(fmt.Sprintf("service-%d", change)), "one")
+}
+
+func encodeEntry(t *testing.T, service dfuident.Service, change string) []byte {
 	t.Helper()
 	e := dfucatalogue.Defaults()
-	e.Service, e.Owner = "lager", "stock"
+	e.Service, e.Owner = service, "stock"
 	value, err := dfucatalogue.EncodeStored(dfucatalogue.Stored{ChangeID: dfuident.ChangeID(change), Entry: e})
 	if err != nil {
 		t.Fatal(err)
