--- a/core/process/dfumembership/machine.go
+++ b/core/process/dfumembership/machine.go
@@ -48,6 +48,9 @@
 	// JoinPeriod is how long a node tries to synchronize with a member that has
 	// joined. After that it counts as joined itself.
 	JoinPeriod dfuclock.Duration
+	// MeetPeriod is how long nodes that start together take to discover each other. A node
+	// that has not joined by then relies on the members that it knows.
+	MeetPeriod dfuclock.Duration
 	// DeadRetention is how long members that died or left are remembered.
 	DeadRetention dfuclock.Duration
 	// WatchProbePeriod is the time between two probes of the zone's watchers by a
@@ -78,6 +81,7 @@
 		SettlePeriod:     2 * dfuclock.Second,
 		SeedPeriod:       5 * dfuclock.Second,
 		JoinPeriod:       5 * dfuclock.Second,
+		MeetPeriod:       dfuclock.Second,
 		DeadRetention:    10 * dfuclock.Minute,
 		WatchProbePeriod: 500 * dfuclock.Millisecond,
 		RegionFailures:   4,
--- a/core/process/dfumembership/sync.go
+++ b/core/process/dfumembership/sync.go
@@ -23,6 +23,8 @@
 	// joined is set once a member that has joined has sent all its updates, or
 	// after JoinPeriod.
 	joined bool
+	// met is set after MeetPeriod.
+	met bool
 	// onlyMember is set if the zone pages list no other member of the region.
 	onlyMember bool
 	// missedUpdates is set after a pause until a sync reply has arrived.
@@ -203,9 +205,9 @@
 // unknown to this node, or that died or left. It reconnects partitions of the
 // membership, and restarted nodes that cannot read the zone pages.
 func (m *Machine) stepSeeds(now dfuclock.Time) {
-	if now.Sub(m.startedAt) >= m.cfg.JoinPeriod {
-		m.sync.joined = true
-	}
+	sinceStart := now.Sub(m.startedAt)
+	m.sync.met = m.sync.met || sinceStart >= m.cfg.MeetPeriod
+	m.sync.joined = m.sync.joined || sinceStart >= m.cfg.JoinPeriod
 	if now.Before(m.nextSeedAt) {
 		return
 	}
--- a/core/process/dfumembership/topology.go
+++ b/core/process/dfumembership/topology.go
@@ -204,7 +204,7 @@
 // WatchRank returns the node's rank, starting from zero, among the members of its zone that
 // may watch the store on behalf of the others, and the size of the zone. Members that have
 // lost the store rank behind the others. The rank of a node that may not watch is at least
-// the size of the zone.
+// the size of the zone. See RankSettled.
 func (m *Machine) WatchRank() (rank, size int) {
 	l := m.currentTopology()
 	return l.watchRank, l.zoneSize
@@ -216,6 +216,13 @@
 	return m.sync.joined || m.sync.onlyMember
 }
 
+// RankSettled reports whether WatchRank may be used. A node that has not joined uses its rank
+// after MeetPeriod: a rank among too few members makes one node too many watch the store,
+// while waiting for a member that has joined would leave a fleet that starts without any.
+func (m *Machine) RankSettled() bool {
+	return m.Joined() || m.sync.met
+}
+
 // pick returns a random member for which keep returns true, or nil. A nil keep
 // accepts all members.
 func (m *Machine) pick(members []*member, keep func(*member) bool) *member {
--- a/core/version/dfuroster/keeper.go
+++ b/core/version/dfuroster/keeper.go
@@ -123,13 +123,11 @@
 	k.stepExchange(dfurecord.Tick{}, nil)
 }
 
-// updatePeers passes the membership's current peers to the exchange. A node
-// becomes a watcher only after it has joined, since it does not know the other
-// nodes of its zone before.
+// updatePeers passes the membership's current peers to the exchange.
 func (k *Keeper) updatePeers() {
 	rank, size := k.membership.WatchRank()
 	joined := k.membership.Joined()
-	e := dfurecord.PeersChanged{ZoneSize: size, Watcher: joined && rank < dfumembership.WatchersPerZone}
+	e := dfurecord.PeersChanged{ZoneSize: size, Watcher: k.membership.RankSettled() && rank < dfumembership.WatchersPerZone}
 	for _, c := range k.membership.GossipPeers() {
 		e.GossipPeers = append(e.GossipPeers, peerOf(c))
 	}
--- a/io/process/dfucontrol/controller_test.go
+++ b/io/process/dfucontrol/controller_test.go
@@ -245,7 +245,8 @@
 	// access holds the access of each node to the store.
 	access map[dfuident.NodeID]*nodeStore
 	net    *network
-	// joinPeriod overrides Config.Membership.JoinPeriod if it is positive.
+	// joinPeriod overrides the times of Config.Membership after which a node no longer waits
+	// for others if it is positive.
 	joinPeriod dfuclock.Duration
 	// watchWait overrides Config.WatchWait and the short Config.PagePeriod of the tests
 	// by the values of the daemon if it is positive.
@@ -276,6 +277,7 @@
 	cfg.ReadAtStart = true
 	if f.joinPeriod > 0 {
 		cfg.Membership.JoinPeriod = f.joinPeriod
+		cfg.Membership.MeetPeriod = f.joinPeriod
 	}
 	cfg.Membership.SeedPeriod = dfuclock.Second
 	cfg.Membership.DeadRetention = 5 * dfuclock.Second
