--- a/io/process/dfucontrol/controller.go
+++ b/io/process/dfucontrol/controller.go
@@ -11,6 +11,7 @@
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/process/dfumembership"
 	"dragonflyusher/core/process/dfuring"
+	"dragonflyusher/core/version/dfurecord"
 	"dragonflyusher/core/version/dfuroster"
 
 	"go.uber.org/zap"
@@ -48,6 +49,12 @@
 	synced      atomic.Bool
 	superseded  atomic.Bool
 	failedCalls atomic.Uint64
+	// missedAnswers counts the answers of watches that were lost.
+	missedAnswers atomic.Uint64
+
+	coverageMu sync.Mutex
+	// coverage holds the revisions up to which the watches have returned all changes.
+	coverage dfurecord.Coverage
 
 	// lastPage is the zone page as this node last read or wrote it. Only maintainPage
 	// uses it.
--- /dev/null
+++ b/io/process/dfucontrol/coverage.go
@@ -0,0 +1,136 @@
+package dfucontrol
+
+import (
+	"context"
+	"slices"
+
+	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/version/dfurecord"
+	"dragonflyusher/io/process/dfustore"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+const (
+	// watchAnswerDelay is how long after a change the answer of a watch may arrive, including
+	// watchPause.
+	watchAnswerDelay = 250 * dfuclock.Millisecond
+	// checkWait is the wait of a watch that only asks for changes that the store already has.
+	checkWait = dfuclock.Millisecond
+	// maxStaleListBytes is the size of the records of a prefix up to which a list costs less
+	// than a watch.
+	maxStaleListBytes = 32 << 10
+)
+
+// errAnswerMissed is the cause with which a watch is canceled that has not returned a change.
+var errAnswerMissed = errors.New("the answer of the watch was lost")
+
+// checkWatches finds watches that have not returned changes up to a revision of the store and
+// starts them again. A watch whose answer is lost looks like one that waits for a change. It
+// reports whether there was one.
+func (c *Controller) checkWatches(ctx context.Context, revision dfuident.Revision) bool {
+	if len(c.behind(revision)) == 0 {
+		return false
+	}
+	received := c.deps.Store.Received()
+	if err := sleep(ctx, watchAnswerDelay); err != nil {
+		return false
+	}
+	if c.deps.Store.Received() != received {
+		return false // A large answer may still be arriving over a slow link.
+	}
+	missed := false
+	behind := c.behind(revision)
+	for _, w := range c.watches {
+		if slices.Contains(behind, w.prefix) && !c.checkWatch(ctx, w, revision) {
+			missed = true
+		}
+	}
+	return missed
+}
+
+// checkWatch reads the changes that a watch may have missed, and reports whether there are
+// none up to a revision. Otherwise, or without an answer, it starts the watch again, with a
+// list.
+func (c *Controller) checkWatch(ctx context.Context, w *prefixWatch, revision dfuident.Revision) bool {
+	restart, after := w.cancel.Load(), c.covered(w.prefix)
+	if after == 0 {
+		return true
+	}
+	answer, err := c.readChanges(ctx, w, after, revision)
+	if ctx.Err() != nil || c.covered(w.prefix) != after {
+		return true
+	}
+	if err == nil {
+		err = c.deliver(answer)
+	}
+	if err == nil {
+		c.cover(w.prefix, nil, answer.Revision)
+	}
+	changes := 0
+	for _, r := range answer.Records {
+		if r.Revision > after {
+			changes++
+		}
+	}
+	if err == nil && changes == 0 {
+		return true
+	}
+	c.missedAnswers.Add(1)
+	c.deps.Log.Warn("a watch of the store missed an answer", zap.String("prefix", w.prefix),
+		zap.Uint64("after", uint64(after)), zap.Int("changes", changes), zap.Error(err))
+	(*restart)(errAnswerMissed)
+	return false
+}
+
+// readChanges reads the changes below a prefix after a revision, up to another one at least.
+// A stale list costs a tenth of a watch, but transfers all records and may be too old.
+func (c *Controller) readChanges(ctx context.Context, w *prefixWatch, after, upTo dfuident.Revision) (dfurecord.StoreResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.ProbeTimeout.Std())
+	defer cancel()
+	if w.listedBytes.Load() <= maxStaleListBytes {
+		records, revision, err := c.deps.Store.ListStale(ctx, w.prefix)
+		if err != nil || revision >= upTo {
+			return dfurecord.StoreResponse{Prefix: w.prefix, Listed: true, Records: toRecords(records), Revision: revision}, err
+		}
+	}
+	records, next, err := c.deps.Store.Watch(ctx, w.prefix, after, checkWait)
+	return dfurecord.StoreResponse{Prefix: w.prefix, Records: toRecords(records), Revision: next}, err
+}
+
+// cover records the answer of the store to a list or a watch of a prefix.
+func (c *Controller) cover(prefix string, changes []dfustore.Record, upTo dfuident.Revision) {
+	c.coverageMu.Lock()
+	defer c.coverageMu.Unlock()
+	for _, r := range changes {
+		c.coverage.Changed(prefix, r.Revision)
+	}
+	c.coverage.Cover(prefix, upTo)
+}
+
+// coverWrite records the revision of a write by this node.
+func (c *Controller) coverWrite(revision dfuident.Revision) {
+	c.coverageMu.Lock()
+	defer c.coverageMu.Unlock()
+	c.coverage.Changed("", revision)
+}
+
+func (c *Controller) dropCoverage(prefix string) {
+	c.coverageMu.Lock()
+	defer c.coverageMu.Unlock()
+	c.coverage.Drop(prefix)
+}
+
+func (c *Controller) covered(prefix string) dfuident.Revision {
+	c.coverageMu.Lock()
+	defer c.coverageMu.Unlock()
+	return c.coverage.Covered(prefix)
+}
+
+func (c *Controller) behind(revision dfuident.Revision) []string {
+	c.coverageMu.Lock()
+	defer c.coverageMu.Unlock()
+	return c.coverage.Behind(revision)
+}
--- a/io/process/dfucontrol/lost_watch_test.go
+++ b/io/process/dfucontrol/lost_watch_test.go
@@ -12,6 +12,8 @@
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/io/process/dfucontrol"
 	"dragonflyusher/io/process/dfustore"
+
+	"github.com/matryer/is"
 )
 
 const (
@@ -104,3 +106,34 @@
 		return !ok || revision == 0
 	})
 }
+
+// Load: writes of keys that no watch covers, as of the zone pages of a fleet whose nodes restart.
+// Each shows a watcher a revision that it doesn't know, which must cost no more than a tenth of a
+// read for each prefix, and end no watch.
+func TestWritesOfOtherKeysCostLittle(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.watchWait = longWatchWait
+	const nodes, writes = 4, 4
+	var controllers []*dfucontrol.Controller
+	for i := range nodes {
+		c, _ := f.start(i)
+		controllers = append(controllers, c)
+	}
+	f.wait("every node sees all targets", allAlive(controllers, nodes))
+	f.wait("two nodes of each zone watch", func() bool { return watcherCount(controllers) == nodes })
+	time.Sleep(8 * time.Second)
+	before, began := f.store.price(), time.Now()
+	for range writes {
+		f.store.put("zone/nord/nord-a", []byte("[]"))
+		time.Sleep(2 * time.Second)
+	}
+	pings := time.Since(began).Seconds() / (dfucontrol.DefaultConfig().ProbePeriod.Std() / 2).Seconds()
+	prefixes := len(dfucontrol.DefaultConfig().Prefixes)
+	spent := f.store.price() - before
+	t.Logf("%.1f calls", spent)
+	is.True(spent <= 0.1*nodes*(writes*float64(prefixes)+pings))
+	for _, c := range controllers {
+		is.Equal(c.Status().MissedAnswers, uint64(0))
+	}
+}
--- a/io/process/dfucontrol/page.go
+++ b/io/process/dfucontrol/page.go
@@ -470,9 +470,11 @@
 	if !record.Exists() {
 		expect = 0
 	}
-	if _, err := c.deps.Store.CompareAndSwap(ctx, key, expect, value, 0); err != nil {
+	revision, err := c.deps.Store.CompareAndSwap(ctx, key, expect, value, 0)
+	if err != nil {
 		return false, err
 	}
+	c.coverWrite(revision)
 	c.lastPage = next
 	return true, nil
 }
--- a/io/process/dfucontrol/probe.go
+++ b/io/process/dfucontrol/probe.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
 
 	"github.com/cockroachdb/errors"
 )
@@ -12,14 +13,20 @@
 // canceled when a ping fails.
 var errUnanswered = errors.New("the store doesn't answer")
 
+// frequentProbing is how long the node pings twice as often after a watch has missed an answer,
+// since further answers may be lost.
+const frequentProbing = 10 * dfuclock.Second
+
 // probe pings the store at short intervals while the node is a watcher, since a watch that
 // waits for a change doesn't show whether the store still answers. If a ping fails, the store
-// counts as lost, and the watches are canceled.
+// counts as lost, and the watches are canceled. The revision that a ping returns shows watches
+// whose answer was lost.
 func (c *Controller) probe(ctx context.Context) error {
 	if err := c.awaitWatchStart(ctx); err != nil {
 		return err
 	}
 	timeout := c.cfg.ProbeTimeout
+	var frequentUntil dfuclock.Time
 	for {
 		if !c.watcher.Load() || c.storeLost.Load() {
 			if err := sleep(ctx, c.cfg.Membership.TickPeriod); err != nil {
@@ -28,7 +35,7 @@
 			continue
 		}
 		began := c.deps.Clock.Now()
-		err := c.ping(ctx, timeout)
+		revision, err := c.ping(ctx, timeout)
 		switch {
 		case ctx.Err() != nil:
 			return ctx.Err()
@@ -39,20 +46,28 @@
 		case c.deps.Clock.Now().Sub(began) < c.cfg.ProbeTimeout:
 			timeout = c.cfg.ProbeTimeout
 		}
-		if err := sleep(ctx, c.cfg.ProbePeriod/2+c.jitter(c.cfg.ProbePeriod)); err != nil {
+		if err == nil && c.checkWatches(ctx, revision) {
+			frequentUntil = c.deps.Clock.Now().Add(frequentProbing)
+		}
+		period := c.cfg.ProbePeriod
+		if c.deps.Clock.Now().Before(frequentUntil) {
+			period /= 2
+		}
+		if err := sleep(ctx, period/2+c.jitter(period)); err != nil {
 			return err
 		}
 	}
 }
 
-func (c *Controller) ping(ctx context.Context, timeout dfuclock.Duration) error {
+// ping returns a revision of the store, or zero if it is unknown.
+func (c *Controller) ping(ctx context.Context, timeout dfuclock.Duration) (dfuident.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout.Std())
 	defer cancel()
-	err := c.deps.Store.Ping(ctx)
-	if ctx.Err() != nil {
-		return errors.Mark(err, errUnanswered)
+	revision, err := c.deps.Store.Ping(ctx)
+	if err != nil && ctx.Err() != nil {
+		return 0, errors.Mark(err, errUnanswered)
 	}
-	return err
+	return revision, err
 }
 
 // loseStore makes the node hand over the watch of the store.
--- a/io/process/dfucontrol/status.go
+++ b/io/process/dfucontrol/status.go
@@ -50,6 +50,9 @@
 	// that were dropped because their queue was full.
 	InboxRefused  uint64 `json:"inbox_refused"`
 	OutboxRefused uint64 `json:"outbox_refused"`
+	// MissedAnswers counts the watches of the store that were renewed because an answer was
+	// lost.
+	MissedAnswers uint64 `json:"missed_answers"`
 	// FailedCalls counts the failed calls to peers.
 	FailedCalls uint64 `json:"failed_calls"`
 }
@@ -64,6 +67,7 @@
 	s.Superseded = c.superseded.Load()
 	s.InboxRefused = c.inbox.Dropped()
 	s.OutboxRefused = c.outbox.Dropped()
+	s.MissedAnswers = c.missedAnswers.Load()
 	s.FailedCalls = c.failedCalls.Load()
 	s.States = make(map[dfuroster.State]int)
 	for _, n := range c.View().Nodes() {
--- a/io/process/dfucontrol/watch.go
+++ b/io/process/dfucontrol/watch.go
@@ -28,6 +28,8 @@
 	nextCheckAt dfuclock.Time
 	// cancel cancels the current or latest call of follow.
 	cancel atomic.Pointer[context.CancelCauseFunc]
+	// listedBytes is the size of the records in the latest full list.
+	listedBytes atomic.Int64
 }
 
 // failuresUntilLost is the number of consecutive failures of a watch after which the store
@@ -53,11 +55,15 @@
 		followCtx, cancel := context.WithCancelCause(ctx)
 		w.cancel.Store(&cancel)
 		err := c.follow(followCtx, w)
-		isUnanswered := errors.Is(err, errUnanswered) || errors.Is(context.Cause(followCtx), errUnanswered)
+		cause := context.Cause(followCtx)
+		isUnanswered := errors.Is(err, errUnanswered) || errors.Is(cause, errUnanswered)
 		cancel(nil)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
+		if errors.Is(cause, errAnswerMissed) {
+			continue
+		}
 		if err != nil {
 			c.deps.Log.Info("watch of the store ended", zap.String("prefix", w.prefix), zap.Error(err))
 		}
@@ -90,17 +96,20 @@
 // follow lists a prefix once and then watches it until the next full list is due
 // or the node is no longer a watcher. A ping, which is cheaper than a list, precedes the list.
 func (c *Controller) follow(ctx context.Context, w *prefixWatch) error {
-	if err := c.ping(ctx, c.cfg.ProbeTimeoutMax); err != nil {
+	if _, err := c.ping(ctx, c.cfg.ProbeTimeoutMax); err != nil {
 		return err
 	}
-	revision, err := c.list(ctx, w.prefix)
+	revision, size, err := c.list(ctx, w.prefix)
 	if err != nil {
 		return err
 	}
+	w.listedBytes.Store(int64(size))
 	c.storeLost.Store(false)
 	w.failures = 0
 	w.retry.reset()
 	c.deps.Log.Info("watching the store", zap.String("prefix", w.prefix), zap.Uint64("revision", uint64(revision)))
+	c.cover(w.prefix, nil, revision)
+	defer c.dropCoverage(w.prefix)
 	relist := c.deps.Clock.Now().Add(c.cfg.ListPeriod + c.jitter(c.cfg.ListPeriod))
 	for c.watcher.Load() && c.deps.Clock.Now().Before(relist) {
 		records, next, err := c.deps.Store.Watch(ctx, w.prefix, revision, c.cfg.WatchWait)
@@ -112,6 +121,7 @@
 		if err := c.deliver(answer); err != nil {
 			return err
 		}
+		c.cover(w.prefix, records, next)
 		if len(records) > 0 {
 			if err := sleep(ctx, watchPause); err != nil {
 				return err
@@ -130,7 +140,7 @@
 		case <-c.readRequests:
 		}
 		for _, prefix := range c.cfg.Prefixes {
-			if _, err := c.list(ctx, prefix); err != nil {
+			if _, _, err := c.list(ctx, prefix); err != nil {
 				c.recordStoreFailure("list "+prefix, err)
 			}
 		}
@@ -192,16 +202,20 @@
 }
 
 // list passes all records under a prefix to the event loop and returns the
-// revision to watch from. It uses List, since ListStale may return a revision
+// revision to watch from and the size of the values. It uses List, since ListStale may return a revision
 // so old that the store has compacted the changes since, and every watch from it
 // would fail.
-func (c *Controller) list(ctx context.Context, prefix string) (dfuident.Revision, error) {
+func (c *Controller) list(ctx context.Context, prefix string) (dfuident.Revision, dfuident.Bytes, error) {
 	records, revision, err := c.deps.Store.List(ctx, prefix)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
+	}
+	var size dfuident.Bytes
+	for _, r := range records {
+		size += dfuident.Bytes(len(r.Value))
 	}
 	answer := dfurecord.StoreResponse{Prefix: prefix, Listed: true, Records: toRecords(records), Revision: revision}
-	return revision, c.deliver(answer)
+	return revision, size, c.deliver(answer)
 }
 
 // deliver passes a response of the store to the event loop.
--- a/io/process/dfunode/metrics.go
+++ b/io/process/dfunode/metrics.go
@@ -60,6 +60,7 @@
 	set(metrics.GetOrRegisterGauge("control.records_age_ms", n.metrics), int64(status.Age))
 	set(metrics.GetOrRegisterGauge("control.joined", n.metrics), boolGauge(status.Joined))
 	set(metrics.GetOrRegisterGauge("control.watching_ms", n.metrics), int64(status.WatchingFor))
+	set(metrics.GetOrRegisterGauge("control.missed_answers", n.metrics), int64(status.MissedAnswers))
 	set(metrics.GetOrRegisterGauge("control.failed_calls", n.metrics), int64(status.FailedCalls))
 	set(metrics.GetOrRegisterGauge("control.dropped", n.metrics), int64(status.InboxRefused+status.OutboxRefused))
 	set(metrics.GetOrRegisterGauge("control.fetch_timeouts", n.metrics), int64(status.Exchange.FetchTimeouts))
--- a/io/process/dfustore/store.go
+++ b/io/process/dfustore/store.go
@@ -20,8 +20,12 @@
 	// returned revision shows. The platform charges a tenth of a List for it.
 	ListStale(ctx context.Context, prefix string) ([]Record, dfuident.Revision, error)
 	// Ping makes a small read, for which the platform charges a tenth of a List. It returns
-	// nil if the store answers it or sends data of any other answer before ctx ends.
-	Ping(ctx context.Context) error
+	// a revision of the store, which may be some seconds old, or zero without an error if
+	// only data of other answers arrived before ctx ended.
+	Ping(ctx context.Context) (dfuident.Revision, error)
+	// Received returns how often data of any answer have arrived. While it grows, an answer
+	// that is due may still be arriving.
+	Received() uint64
 	// Watch waits, for at most wait, until a record whose key has the prefix has
 	// a revision above after. It returns all such records including deletes,
 	// ordered by revision, and the revision to pass as after in the next call. On
