--- a/core/version/dfuroster/start_test.go
+++ b/core/version/dfuroster/start_test.go
@@ -5,7 +5,6 @@
 	"testing"
 
 	"dragonflyusher/core/process/dfuclock"
-	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/process/dfumembership"
 	"dragonflyusher/measure/dfufleet"
 
@@ -32,17 +31,6 @@
 	return started
 }
 
-// nodesIn returns the nodes of a region, or of all if it is empty.
-func nodesIn(f *dfufleet.Fleet, region dfuident.Region) []*dfufleet.Node {
-	var nodes []*dfufleet.Node
-	for _, n := range f.Nodes() {
-		if region == "" || n.Place.Region == region {
-			nodes = append(nodes, n)
-		}
-	}
-	return nodes
-}
-
 // Changes must come into force in time while all nodes start, when no node has joined that
 // others could synchronize with. Load: a change each 0.7 s from 1 s after the start on.
 func TestFleetThatStartsHearsInTime(t *testing.T) {
@@ -61,19 +49,31 @@
 	}
 }
 
-// The nodes of a region that all start while the other region can't be reached must hear
-// changes in time as well.
-func TestRegionThatStartsAloneHearsInTime(t *testing.T) {
-	for _, region := range []dfuident.Region{"region-0", "region-1"} {
+// Nodes that all start while they can't reach the others must hear changes in time as well: a
+// region, a zone, and a node whose zone page lists only nodes that are gone.
+func TestPartOfAFleetThatStartsAloneHearsInTime(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		starts func(n *dfufleet.Node) bool
+	}{
+		{"region of the store", func(n *dfufleet.Node) bool { return n.Place.Region == "region-0" }},
+		{"other region", func(n *dfufleet.Node) bool { return n.Place.Region == "region-1" }},
+		{"zone", func(n *dfufleet.Node) bool { return n.Place.Zone == "zone-2" }},
+		{"node", func(n *dfufleet.Node) bool { return n.Member.Node == nodeID(5) }},
+	} {
 		for seed := range uint64(8) {
-			t.Run(fmt.Sprintf("%s, seed %d", region, seed), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s, seed %d", c.name, seed), func(t *testing.T) {
 				cfg := dfufleet.DefaultConfig()
 				cfg.Seed = seed
 				f := dfufleet.New(cfg)
 				addNodes(f, 16, 4)
-				f.SetStoreRegion(region)
-				f.SetLinkDown("region-0", "region-1", true)
-				started := restart(f, nodesIn(f, region))
+				starting, others := partition(f.Nodes(), c.starts)
+				for _, n := range starting {
+					for _, other := range others {
+						f.SetPathDown(n.Member.Node, other.Member.Node, true)
+					}
+				}
+				started := restart(f, starting)
 				f.Run(startTestFirstChange)
 				checkSeriesInForce(t, f, started)
 			})
@@ -81,6 +81,18 @@
 	}
 }
 
+// partition returns the nodes for which a condition holds, and the others.
+func partition(nodes []*dfufleet.Node, holds func(*dfufleet.Node) bool) (selected, others []*dfufleet.Node) {
+	for _, n := range nodes {
+		if holds(n) {
+			selected = append(selected, n)
+		} else {
+			others = append(others, n)
+		}
+	}
+	return selected, others
+}
+
 // maxStartCalls is the number of calls to the store that a node may cost at its start. It is
 // the bound of the controllers' test of a fleet that starts at once.
 const maxStartCalls = 8.8 / 3
