--- a/standin/dfustorestandin/server.go
+++ b/standin/dfustorestandin/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -104,6 +105,22 @@
 	if writes && s.consume(func(w *Switches) *int { return &w.LoseReplies }) {
 		closeWithoutReply(ctx)
 	}
+	if call == dfuplatform.CallWatch && s.consume(func(w *Switches) *int { return &w.LoseWatches }) {
+		s.silence(ctx)
+	}
+}
+
+// silence sends no response and nothing else on the connection of a call, which stays open
+// until the client closes it.
+func (s *Server) silence(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(conn net.Conn) {
+		go func() {
+			<-s.stop
+			_ = conn.Close()
+		}()
+		_, _ = io.Copy(io.Discard, conn)
+	})
 }
 
 // delayWrite closes the connection without a reply and executes the write LateBy
--- a/standin/dfustorestandin/switches.go
+++ b/standin/dfustorestandin/switches.go
@@ -38,6 +38,9 @@
 	LoseRequests int `json:"lose_requests"`
 	// LoseReplies is the number of upcoming writes that take effect but get no reply.
 	LoseReplies int `json:"lose_replies"`
+	// LoseWatches is the number of upcoming replies to watches to lose. Their connections stay
+	// open and return nothing further.
+	LoseWatches int `json:"lose_watches"`
 	// Late is the number of upcoming writes that get no reply and are executed LateBy
 	// later, when their conditions are checked.
 	Late   int               `json:"late"`
