--- a/io/process/dfucontrol/coverage.go
+++ b/io/process/dfucontrol/coverage.go
@@ -52,15 +52,16 @@
 }
 
 // checkWatch reads the changes that a watch may have missed, and reports whether there are
-// none up to a revision. Otherwise, or without an answer, it starts the watch again, with a
-// list.
+// none up to a revision. Otherwise it starts the watch again, with a list. It does so as well
+// if the store doesn't answer or has discarded the changes, but not if it refuses the call.
 func (c *Controller) checkWatch(ctx context.Context, w *prefixWatch, revision dfuident.Revision) bool {
 	restart, after := w.cancel.Load(), c.covered(w.prefix)
 	if after == 0 {
 		return true
 	}
 	answer, err := c.readChanges(ctx, w, after, revision)
-	if ctx.Err() != nil || c.covered(w.prefix) != after {
+	isRefused := err != nil && !errors.Is(err, errUnanswered) && !errors.Is(err, dfustore.ErrCompacted)
+	if ctx.Err() != nil || isRefused || c.covered(w.prefix) != after {
 		return true
 	}
 	if err == nil {
@@ -90,14 +91,20 @@
 func (c *Controller) readChanges(ctx context.Context, w *prefixWatch, after, upTo dfuident.Revision) (dfurecord.StoreResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.ProbeTimeout.Std())
 	defer cancel()
-	if w.listedBytes.Load() <= maxStaleListBytes {
+	answer := dfurecord.StoreResponse{Prefix: w.prefix}
+	if w.recordBytes.Load() <= maxStaleListBytes {
 		records, revision, err := c.deps.Store.ListStale(ctx, w.prefix)
-		if err != nil || revision >= upTo {
-			return dfurecord.StoreResponse{Prefix: w.prefix, Listed: true, Records: toRecords(records), Revision: revision}, err
+		if err != nil {
+			return answer, markUnanswered(ctx, err)
+		}
+		if revision >= upTo {
+			answer.Listed, answer.Records, answer.Revision = true, toRecords(records), revision
+			return answer, nil
 		}
 	}
 	records, next, err := c.deps.Store.Watch(ctx, w.prefix, after, checkWait)
-	return dfurecord.StoreResponse{Prefix: w.prefix, Records: toRecords(records), Revision: next}, err
+	answer.Records, answer.Revision = toRecords(records), next
+	return answer, markUnanswered(ctx, err)
 }
 
 // cover records the answer of the store to a list or a watch of a prefix.
--- a/io/process/dfucontrol/lost_watch_test.go
+++ b/io/process/dfucontrol/lost_watch_test.go
@@ -137,3 +137,29 @@
 		is.Equal(c.Status().MissedAnswers, uint64(0))
 	}
 }
+
+// refusedChecks refuses the reads with which a node checks its watches.
+type refusedChecks struct{ *nodeStore }
+
+func (s *refusedChecks) ListStale(ctx context.Context, prefix string) ([]dfustore.Record, dfuident.Revision, error) {
+	if slices.Contains(dfucontrol.DefaultConfig().Prefixes, prefix) {
+		return nil, 0, dfustore.ErrUnavailable
+	}
+	return s.nodeStore.ListStale(ctx, prefix)
+}
+
+// A check of a watch that the store refuses says nothing about the watch. Starting it again
+// would add calls to a store that has too many.
+func TestRefusedCheckLeavesTheWatch(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.watchWait = longWatchWait
+	f.wrapStore = func(s *nodeStore) dfucontrol.Store { return &refusedChecks{s} }
+	c, _ := f.start(0)
+	f.wait("the node watches", func() bool { return c.Status().Watcher })
+	time.Sleep(2 * time.Second)
+	f.store.put("zone/nord/nord-a", []byte("[]"))
+	time.Sleep(3 * time.Second)
+	is.Equal(c.Status().MissedAnswers, uint64(0))
+	is.True(c.Status().Watcher)
+}
--- a/io/process/dfucontrol/owner.go
+++ b/io/process/dfucontrol/owner.go
@@ -190,7 +190,7 @@
 	log, membership := l.control.deps.Log, l.keeper.Membership()
 	if joined := membership.Joined(); joined != l.joined {
 		l.joined, l.statusStale = joined, true
-		log.Info("membership synchronized", zap.Bool("joined", joined),
+		log.Info("joining state changed", zap.Bool("joined", joined),
 			zap.Int64("started_ms", int64(now.Sub(l.startedAt))), zap.Int("members", l.keeper.View().Len()))
 	}
 	if watching := l.keeper.Exchange().Watcher(); watching != (l.watchingSince != 0) {
--- a/io/process/dfucontrol/probe.go
+++ b/io/process/dfucontrol/probe.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// errUnanswered marks a ping without an answer. It is also the cause with which watches are
+// errUnanswered marks a ping or a check of a watch without an answer. It is also the cause with which watches are
 // canceled when a ping fails.
 var errUnanswered = errors.New("the store doesn't answer")
 
@@ -64,10 +64,15 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout.Std())
 	defer cancel()
 	revision, err := c.deps.Store.Ping(ctx)
-	if err != nil && ctx.Err() != nil {
-		return 0, errors.Mark(err, errUnanswered)
+	return revision, markUnanswered(ctx, err)
+}
+
+// markUnanswered marks the error of a call that failed at the end of its context.
+func markUnanswered(ctx context.Context, err error) error {
+	if ctx.Err() == nil {
+		return err
 	}
-	return revision, err
+	return errors.Mark(err, errUnanswered)
 }
 
 // loseStore makes the node hand over the watch of the store.
--- a/io/process/dfucontrol/watch.go
+++ b/io/process/dfucontrol/watch.go
@@ -28,8 +28,9 @@
 	nextCheckAt dfuclock.Time
 	// cancel cancels the current or latest call of follow.
 	cancel atomic.Pointer[context.CancelCauseFunc]
-	// listedBytes is the size of the records in the latest full list.
-	listedBytes atomic.Int64
+	// recordBytes is the size of the records in the latest full list, or of a larger answer
+	// of the watch since.
+	recordBytes atomic.Int64
 }
 
 // failuresUntilLost is the number of consecutive failures of a watch after which the store
@@ -103,7 +104,7 @@
 	if err != nil {
 		return err
 	}
-	w.listedBytes.Store(int64(size))
+	w.recordBytes.Store(size)
 	c.storeLost.Store(false)
 	w.failures = 0
 	w.retry.reset()
@@ -122,6 +123,7 @@
 			return err
 		}
 		c.cover(w.prefix, records, next)
+		w.recordBytes.Store(max(w.recordBytes.Load(), valueBytes(records)))
 		if len(records) > 0 {
 			if err := sleep(ctx, watchPause); err != nil {
 				return err
@@ -202,20 +204,25 @@
 }
 
 // list passes all records under a prefix to the event loop and returns the
-// revision to watch from and the size of the values. It uses List, since ListStale may return a revision
-// so old that the store has compacted the changes since, and every watch from it
-// would fail.
-func (c *Controller) list(ctx context.Context, prefix string) (dfuident.Revision, dfuident.Bytes, error) {
+// revision to watch from and the size of the records. It uses List, since ListStale may
+// return a revision so old that the store has compacted the changes since, and every watch
+// from it would fail.
+func (c *Controller) list(ctx context.Context, prefix string) (dfuident.Revision, int64, error) {
 	records, revision, err := c.deps.Store.List(ctx, prefix)
 	if err != nil {
 		return 0, 0, err
 	}
-	var size dfuident.Bytes
+	answer := dfurecord.StoreResponse{Prefix: prefix, Listed: true, Records: toRecords(records), Revision: revision}
+	return revision, valueBytes(records), c.deliver(answer)
+}
+
+// valueBytes returns the size of the values of records in bytes.
+func valueBytes(records []dfustore.Record) int64 {
+	var size int64
 	for _, r := range records {
-		size += dfuident.Bytes(len(r.Value))
+		size += int64(len(r.Value))
 	}
-	answer := dfurecord.StoreResponse{Prefix: prefix, Listed: true, Records: toRecords(records), Revision: revision}
-	return revision, size, c.deliver(answer)
+	return size
 }
 
 // deliver passes a response of the store to the event loop.
