--- a/io/process/dfucontrol/config.go
+++ b/io/process/dfucontrol/config.go
@@ -20,7 +20,7 @@
 	Get(ctx context.Context, key string) (dfustore.Record, error)
 	List(ctx context.Context, prefix string) ([]dfustore.Record, dfuident.Revision, error)
 	ListStale(ctx context.Context, prefix string) ([]dfustore.Record, dfuident.Revision, error)
-	Ping(ctx context.Context) (dfuident.Revision, error)
+	Ping(ctx context.Context, prefix string) ([]dfustore.Record, dfuident.Revision, error)
 	Received() uint64
 	Watch(ctx context.Context, prefix string, after dfuident.Revision, wait dfuclock.Duration) ([]dfustore.Record, dfuident.Revision, error)
 	CompareAndSwap(ctx context.Context, key string, expect dfuident.Revision, value []byte, lease dfustore.LeaseID) (dfuident.Revision, error)
--- a/io/process/dfucontrol/controller.go
+++ b/io/process/dfucontrol/controller.go
@@ -43,12 +43,14 @@
 	status     atomic.Pointer[Status]
 	storeError atomic.Pointer[string]
 	// storeLost is set while the node, as a watcher, can't reach the store.
-	storeLost   atomic.Bool
-	bridge      atomic.Bool
-	watcher     atomic.Bool
-	synced      atomic.Bool
-	superseded  atomic.Bool
-	failedCalls atomic.Uint64
+	storeLost atomic.Bool
+	bridge    atomic.Bool
+	watcher   atomic.Bool
+	// firstWatcher is set if the node is the first-ranked watcher of its zone.
+	firstWatcher atomic.Bool
+	synced       atomic.Bool
+	superseded   atomic.Bool
+	failedCalls  atomic.Uint64
 	// missedAnswers counts the answers of watches that were lost.
 	missedAnswers atomic.Uint64
 
--- a/io/process/dfucontrol/controller_test.go
+++ b/io/process/dfucontrol/controller_test.go
@@ -1,6 +1,7 @@
 package dfucontrol_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -92,14 +93,9 @@
 	return s.since(prefix, 0)
 }
 
-func (s *fakeStore) Ping(context.Context) (dfuident.Revision, error) {
+func (s *fakeStore) Ping(_ context.Context, prefix string) ([]dfustore.Record, dfuident.Revision, error) {
 	s.count(0.1)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.down {
-		return 0, dfustore.ErrUnavailable
-	}
-	return s.revision, nil
+	return s.since(cmp.Or(prefix, "ping/"), 0)
 }
 
 func (s *fakeStore) Received() uint64 { return 0 }
@@ -208,11 +204,11 @@
 	return records, revision, err
 }
 
-func (s *nodeStore) Ping(ctx context.Context) (dfuident.Revision, error) {
+func (s *nodeStore) Ping(ctx context.Context, prefix string) ([]dfustore.Record, dfuident.Revision, error) {
 	if err := s.check(ctx, 0); err != nil {
-		return 0, err
+		return nil, 0, err
 	}
-	return s.fakeStore.Ping(ctx)
+	return s.fakeStore.Ping(ctx, prefix)
 }
 
 // unansweredTimeout, plus the wait of a watch, is the time after which a call without an
--- a/io/process/dfucontrol/coverage.go
+++ b/io/process/dfucontrol/coverage.go
@@ -22,6 +22,8 @@
 	// maxStaleListBytes is the size of the records of a prefix up to which a list costs less
 	// than a watch.
 	maxStaleListBytes = 32 << 10
+	// maxPingBytes is the size of the records of a prefix that a ping may transfer.
+	maxPingBytes = 512
 )
 
 // errAnswerMissed is the cause with which a watch is canceled that has not returned a change.
@@ -59,7 +61,7 @@
 	if after == 0 {
 		return true
 	}
-	answer, err := c.readChanges(ctx, w, after, revision)
+	records, answer, err := c.readChanges(ctx, w, after, revision)
 	isRefused := err != nil && !errors.Is(err, errUnanswered) && !errors.Is(err, dfustore.ErrCompacted)
 	if ctx.Err() != nil || isRefused || c.covered(w.prefix) != after {
 		return true
@@ -70,12 +72,7 @@
 	if err == nil {
 		c.cover(w.prefix, nil, answer.Revision)
 	}
-	changes := 0
-	for _, r := range answer.Records {
-		if r.Revision > after {
-			changes++
-		}
-	}
+	changes := changesAfter(records, after)
 	if err == nil && changes == 0 {
 		return true
 	}
@@ -88,23 +85,50 @@
 
 // readChanges reads the changes below a prefix after a revision, up to another one at least.
 // A stale list costs a tenth of a watch, but transfers all records and may be too old.
-func (c *Controller) readChanges(ctx context.Context, w *prefixWatch, after, upTo dfuident.Revision) (dfurecord.StoreResponse, error) {
+func (c *Controller) readChanges(ctx context.Context, w *prefixWatch, after, upTo dfuident.Revision) ([]dfustore.Record, dfurecord.StoreResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.ProbeTimeout.Std())
 	defer cancel()
 	answer := dfurecord.StoreResponse{Prefix: w.prefix}
 	if w.recordBytes.Load() <= maxStaleListBytes {
 		records, revision, err := c.deps.Store.ListStale(ctx, w.prefix)
 		if err != nil {
-			return answer, markUnanswered(ctx, err)
+			return nil, answer, markUnanswered(ctx, err)
 		}
 		if revision >= upTo {
 			answer.Listed, answer.Records, answer.Revision = true, toRecords(records), revision
-			return answer, nil
+			return records, answer, nil
 		}
 	}
 	records, next, err := c.deps.Store.Watch(ctx, w.prefix, after, checkWait)
 	answer.Records, answer.Revision = toRecords(records), next
-	return answer, markUnanswered(ctx, err)
+	return records, answer, markUnanswered(ctx, err)
+}
+
+// changesAfter returns the number of records above a revision.
+func changesAfter(records []dfustore.Record, after dfuident.Revision) int {
+	changes := 0
+	for _, r := range records {
+		if r.Revision > after {
+			changes++
+		}
+	}
+	return changes
+}
+
+// smallestWatch returns the watch whose records are the smallest, or nil if none are small
+// enough to be read with each ping.
+func (c *Controller) smallestWatch() *prefixWatch {
+	var smallest *prefixWatch
+	for _, w := range c.watches {
+		size := w.recordBytes.Load()
+		if size > maxPingBytes || c.covered(w.prefix) == 0 {
+			continue
+		}
+		if smallest == nil || size < smallest.recordBytes.Load() {
+			smallest = w
+		}
+	}
+	return smallest
 }
 
 // cover records the answer of the store to a list or a watch of a prefix.
--- a/io/process/dfucontrol/owner.go
+++ b/io/process/dfucontrol/owner.go
@@ -176,7 +176,9 @@
 	now := c.deps.Clock.Now()
 	l.logRoles(now)
 	c.bridge.Store(l.keeper.Membership().IsBridge())
+	rank, _ := l.keeper.Membership().WatchRank()
 	c.watcher.Store(l.keeper.Exchange().Watcher())
+	c.firstWatcher.Store(l.keeper.Exchange().Watcher() && rank == 0)
 	c.synced.Store(l.keeper.Exchange().Synced())
 	if l.statusStale || !now.Before(l.nextStatusAt) {
 		l.statusStale = false
--- a/io/process/dfucontrol/probe.go
+++ b/io/process/dfucontrol/probe.go
@@ -5,6 +5,7 @@
 
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/version/dfurecord"
 
 	"github.com/cockroachdb/errors"
 )
@@ -20,7 +21,7 @@
 // probe pings the store at short intervals while the node is a watcher, since a watch that
 // waits for a change doesn't show whether the store still answers. If a ping fails, the store
 // counts as lost, and the watches are canceled. The revision that a ping returns shows watches
-// whose answer was lost.
+// whose answer was lost; one watcher of a zone checks that, since it advertises what it finds.
 func (c *Controller) probe(ctx context.Context) error {
 	if err := c.awaitWatchStart(ctx); err != nil {
 		return err
@@ -35,7 +36,7 @@
 			continue
 		}
 		began := c.deps.Clock.Now()
-		revision, err := c.ping(ctx, timeout)
+		revision, err := c.ping(ctx, c.smallestWatch(), timeout)
 		switch {
 		case ctx.Err() != nil:
 			return ctx.Err()
@@ -46,7 +47,7 @@
 		case c.deps.Clock.Now().Sub(began) < c.cfg.ProbeTimeout:
 			timeout = c.cfg.ProbeTimeout
 		}
-		if err == nil && c.checkWatches(ctx, revision) {
+		if err == nil && c.firstWatcher.Load() && c.checkWatches(ctx, revision) {
 			frequentUntil = c.deps.Clock.Now().Add(frequentProbing)
 		}
 		period := c.cfg.ProbePeriod
@@ -59,12 +60,24 @@
 	}
 }
 
-// ping returns a revision of the store, or zero if it is unknown.
-func (c *Controller) ping(ctx context.Context, timeout dfuclock.Duration) (dfuident.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout.Std())
+// ping returns a revision of the store, or zero if it is unknown. Unless w is nil, it reads the
+// records of w's prefix, which are covered up to that revision if none has changed.
+func (c *Controller) ping(ctx context.Context, w *prefixWatch, timeout dfuclock.Duration) (dfuident.Revision, error) {
+	prefix, after := "", dfuident.Revision(0)
+	if w != nil {
+		prefix, after = w.prefix, c.covered(w.prefix)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, timeout.Std())
 	defer cancel()
-	revision, err := c.deps.Store.Ping(ctx)
-	return revision, markUnanswered(ctx, err)
+	records, revision, err := c.deps.Store.Ping(callCtx, prefix)
+	if err != nil || after == 0 || revision <= after || changesAfter(records, after) > 0 {
+		return revision, markUnanswered(callCtx, err)
+	}
+	answer := dfurecord.StoreResponse{Prefix: prefix, Listed: true, Records: toRecords(records), Revision: revision}
+	if c.deliver(answer) == nil {
+		c.cover(prefix, nil, revision)
+	}
+	return revision, nil
 }
 
 // markUnanswered marks the error of a call that failed at the end of its context.
--- a/io/process/dfucontrol/watch.go
+++ b/io/process/dfucontrol/watch.go
@@ -97,7 +97,7 @@
 // follow lists a prefix once and then watches it until the next full list is due
 // or the node is no longer a watcher. A ping, which is cheaper than a list, precedes the list.
 func (c *Controller) follow(ctx context.Context, w *prefixWatch) error {
-	if _, err := c.ping(ctx, c.cfg.ProbeTimeoutMax); err != nil {
+	if _, err := c.ping(ctx, nil, c.cfg.ProbeTimeoutMax); err != nil {
 		return err
 	}
 	revision, size, err := c.list(ctx, w.prefix)
--- a/io/process/dfustore/store.go
+++ b/io/process/dfustore/store.go
@@ -19,10 +19,10 @@
 	// ListStale is like List, but its result may be some seconds old, which the
 	// returned revision shows. The platform charges a tenth of a List for it.
 	ListStale(ctx context.Context, prefix string) ([]Record, dfuident.Revision, error)
-	// Ping makes a small read, for which the platform charges a tenth of a List. It returns
-	// a revision of the store, which may be some seconds old, or zero without an error if
-	// only data of other answers arrived before ctx ended.
-	Ping(ctx context.Context) (dfuident.Revision, error)
+	// Ping is like ListStale, for a prefix with few records or an empty prefix for none. It
+	// returns revision zero without an error if only data of other answers arrived before
+	// ctx ended.
+	Ping(ctx context.Context, prefix string) ([]Record, dfuident.Revision, error)
 	// Received returns how often data of any answer have arrived. While it grows, an answer
 	// that is due may still be arriving.
 	Received() uint64
