--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -232,6 +232,18 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// awaitReadiness waits until all nodes are ready.
+func (f *fleet) awaitReadiness() error {
+	return f.await("readiness", 15*time.Second, func() bool {
+		for _, n := range f.nodes {
+			if !n.isReady() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // await polls until a state is reached.
 func (f *fleet) await(what string, limit time.Duration, reached func() bool) error {
 	for end := time.Now().Add(limit); !reached(); time.Sleep(20 * time.Millisecond) {
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -25,6 +25,7 @@
 var cases = map[string]func(ctx context.Context, r *record, root string, trouble bool) (broken bool, err error){
 	"backlog": playBacklog,
 	"uploads": playUploads,
+	"hup":     playHup,
 }
 
 func main() {
--- a/review/stand2/regions.go
+++ b/review/stand2/regions.go
@@ -100,15 +100,7 @@
 
 // awaitService waits until all nodes are ready and all services are served at the front.
 func (f *regionFleet) awaitService(ctx context.Context, d regions) error {
-	err := f.await("readiness", 15*time.Second, func() bool {
-		for _, n := range f.nodes {
-			if !n.isReady() {
-				return false
-			}
-		}
-		return true
-	})
-	if err != nil {
+	if err := f.awaitReadiness(); err != nil {
 		return err
 	}
 	probe := newClients(f.record, f.nodes[0].ip+portOutbound, time.Second)
