--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -75,8 +75,8 @@
 	if bodyBytes > 0 {
 		length = fmt.Sprintf("Content-Length: %d\r\n", bodyBytes)
 	}
-	_, err = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n%s\r\n",
-		method, path, id, c.deadline.Milliseconds(), length)
+	_, err = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: shop.example\r\n%s: %s\r\n%s: %d\r\n%s\r\n",
+		method, path, names["attemptID"], id, names["deadline"], c.deadline.Milliseconds(), length)
 	if err != nil {
 		return describe(err)
 	}
--- a/review/stand2/hup.go
+++ b/review/stand2/hup.go
@@ -38,7 +38,7 @@
 		"timeout_ms": 1200, "target_latency_ms": 800, "priority": 1, "attempts": 2,
 	}
 	services := []map[string]any{{"name": "lager", "health_path": "/health", "max_connections": 1040}}
-	err = f.put("op/config", map[string]any{"version": 1, "routes": []map[string]any{route}, "services": services, "limits": map[string]any{}})
+	err = f.put(names["config"], map[string]any{"version": 1, "routes": []map[string]any{route}, "services": services, "limits": map[string]any{}})
 	if err != nil {
 		return false, err
 	}
--- a/review/stand2/regions.go
+++ b/review/stand2/regions.go
@@ -63,7 +63,7 @@
 // startParts writes the configuration, starts the links, the workers and the nodes, and waits
 // until the nodes are ready and serve.
 func (f *regionFleet) startParts(ctx context.Context, d regions) error {
-	if err := f.put("op/config", d.config()); err != nil {
+	if err := f.put(names["config"], d.config()); err != nil {
 		return err
 	}
 	const bytesPerMbps = 1e6 / 8
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -144,16 +144,16 @@
 
 // handle returns the response to a request.
 func (w *worker) handle(q request) []byte {
-	id := q.header.Get("X-Attempt-Id")
+	id := q.header.Get(names["attemptID"])
 	switch {
 	case q.uri == "/health":
-		return w.response(http.StatusOK, "X-Instance-Id: "+w.id+"\r\n", nil)
-	case q.header.Get("X-Expect-Instance") != w.id:
-		return w.response(http.StatusMisdirectedRequest, "X-Instance-Id: "+w.id+"\r\n", nil)
+		return w.response(http.StatusOK, names["instanceID"]+": "+w.id+"\r\n", nil)
+	case q.header.Get(names["expectInstance"]) != w.id:
+		return w.response(http.StatusMisdirectedRequest, names["instanceID"]+": "+w.id+"\r\n", nil)
 	}
 	if w.waiting.Add(1) > int64(w.cfg.queue) {
 		w.waiting.Add(-1)
-		return w.response(http.StatusServiceUnavailable, "X-Not-Executed: 1\r\nX-Attempt-Id: "+id+"\r\n", nil)
+		return w.response(http.StatusServiceUnavailable, names["notExecuted"]+": 1\r\n"+names["attemptID"]+": "+id+"\r\n", nil)
 	}
 	w.busy <- struct{}{}
 	w.waiting.Add(-1)
@@ -161,12 +161,12 @@
 	time.Sleep(w.cfg.work)
 	<-w.busy
 	body := bytes.Repeat([]byte(id+"."), w.cfg.answerBytes/(len(id)+1))
-	return w.response(http.StatusOK, "X-Attempt-Id: "+id+"\r\nX-Server-Seal: "+w.id+"."+id+"\r\n", body)
+	return w.response(http.StatusOK, names["attemptID"]+": "+id+"\r\n"+names["seal"]+": "+w.id+"."+id+"\r\n", body)
 }
 
 func (w *worker) response(status int, fields string, body []byte) []byte {
-	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n%sX-Server-Load: %d,%d,%d,100\r\nContent-Length: %d\r\n\r\n",
-		status, http.StatusText(status), fields, len(w.busy), w.waiting.Load(), w.cfg.slots, len(body))
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s%s: %d,%d,%d,100\r\nContent-Length: %d\r\n\r\n",
+		status, http.StatusText(status), fields, names["load"], len(w.busy), w.waiting.Load(), w.cfg.slots, len(body))
 	return append([]byte(head), body...)
 }
 
