review: cases 7 and 8 are withdrawn

Case 8: hup is a disruption, and an end within a second of one is excused. Case 7: its uploads exceed the largest burst of the site.

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -24,8 +24,6 @@
 // cases holds the cases by name. Each reports whether its rule was broken.
 var cases = map[string]func(ctx context.Context, r *record, root string, trouble bool) (broken bool, err error){
 	"backlog": playBacklog,
-	"uploads": playUploads,
-	"hup":     playHup,
 }
 
 func main() {
