core/version/dfurecord: do not postpone adverts to other regions

A region all of whose watchers were turned away by the store, or got no answers, was served by an old table for as long as changes of it came 0.3 s apart or faster: it heard none of them.

The bridge of a zone advertises a change to other regions RemoteDelay (0.3 s) after it got it. A further change of the same record began that time again.

The time now runs from the first change that has not been advertised. What the advert names is the revision of the moment at which it is sent.

--- a/core/version/dfurecord/exchange.go
+++ b/core/version/dfurecord/exchange.go
@@ -584,11 +584,18 @@
 }
 
 // scheduleRemoteAdvert schedules the adverts of a changed key to other regions if the node
-// is a bridge. It is possible that no watcher of those regions can reach the store.
+// is a bridge. It is possible that no watcher of those regions can reach the store. A further
+// change of the key doesn't postpone an advert that is already scheduled.
 func (x *Exchange) scheduleRemoteAdvert(now dfuclock.Time, key string) {
-	if x.synced && len(x.peers.RemotePeers) > 0 {
-		x.remoteAdverts[key] = remoteAdvert{at: now.Add(x.cfg.RemoteDelay), roundsLeft: x.cfg.RemoteRounds}
+	if !x.synced || len(x.peers.RemotePeers) == 0 {
+		return
+	}
+	a, ok := x.remoteAdverts[key]
+	if !ok {
+		a.at = now.Add(x.cfg.RemoteDelay)
 	}
+	a.roundsLeft = x.cfg.RemoteRounds
+	x.remoteAdverts[key] = a
 }
 
 // advertiseToRegions sends the adverts that are due to one peer of each other region.
--- a/core/version/dfuroster/return_test.go
+++ b/core/version/dfuroster/return_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"dragonflyusher/core/process/dfuclock"
+	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/measure/dfufleet"
 )
 
@@ -103,3 +104,36 @@
 		}
 	}
 }
+
+// A region none of whose nodes gets answers from the store must hear the changes of one record,
+// however soon they follow each other: a change must not postpone the adverts of those before it.
+// Load: a change of the record each 0.1 to 0.6 s.
+func TestQuickChangesReachARegionWithoutStore(t *testing.T) {
+	for _, period := range []dfuclock.Duration{100, 200, 300, 600} {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprintf("each %v, seed %d", period, seed), func(t *testing.T) {
+				cfg := dfufleet.DefaultConfig()
+				cfg.Seed = seed
+				f := dfufleet.New(cfg)
+				addNodes(f, 16, 4)
+				for _, n := range f.Nodes() {
+					f.SetStoreUnanswered(n.Member.Node, n.Place.Region == "region-1")
+				}
+				var revisions []dfuident.Revision
+				s := series{fleet: f, period: period, put: func(f *dfufleet.Fleet, _ int) {
+					revisions = append(revisions, f.Put("catalogue/quick", []byte(`{"change_id":"c","entry":{"service":"quick","owner":"stock"}}`)))
+				}}
+				s.run(dfuclock.Second)
+				for range 50 {
+					due := s.made - 1
+					s.run(watcherTestBound)
+					for _, n := range f.Nodes() {
+						if _, revision, _ := n.Keeper.View().Entry("quick"); revision < revisions[due] {
+							t.Fatalf("change %d is not in force at %v after %v", due, n, watcherTestBound)
+						}
+					}
+				}
+			})
+		}
+	}
+}
