io/process/dfucontrol: watch all prefixes as soon as the store answers again

Callers were served by an old table up to 5 s after the store was back from an outage, in a region or at all nodes at once.

Two faults of one cause, a backoff that nothing ends. After an outage of some seconds the retries of a watch were 2.5 to 5 s apart, and those of a node that had handed the role over exactly 5 s, in step at all nodes. And the list of one prefix made a node count as one that reaches the store, so that it took the role of a watcher back, while the watch of the other prefix stayed in its own backoff: nobody watched the routes, no ping showed it, and no other candidate took over.

The first answer ends the backoffs of all watches. The store is reached again once every prefix is listed.

--- a/io/process/dfucontrol/controller.go
+++ b/io/process/dfucontrol/controller.go
@@ -42,10 +42,12 @@
 	view       atomic.Pointer[dfuroster.View]
 	status     atomic.Pointer[Status]
 	storeError atomic.Pointer[string]
-	// storeLost is set while the node, as a watcher, can't reach the store.
-	storeLost atomic.Bool
-	bridge    atomic.Bool
-	watcher   atomic.Bool
+	// storeLost is set while the node, as a watcher, can't reach the store: while a watch has
+	// lost it. storeSilent is set while the store answers no pings.
+	storeLost, storeSilent atomic.Bool
+	lostMu                 sync.Mutex
+	bridge                 atomic.Bool
+	watcher                atomic.Bool
 	// firstWatcher is set if the node is the first-ranked watcher of its zone.
 	firstWatcher atomic.Bool
 	synced       atomic.Bool
@@ -98,7 +100,7 @@
 		rand:                deps.Rand,
 	}
 	for _, prefix := range cfg.Prefixes {
-		c.watches = append(c.watches, &prefixWatch{prefix: prefix, retry: c.newBackoff()})
+		c.watches = append(c.watches, &prefixWatch{prefix: prefix, retry: c.newBackoff(), returned: make(chan struct{}, 1)})
 	}
 	c.proof.renewed = make(chan struct{})
 	c.proof.kick = make(chan struct{}, 1)
--- a/io/process/dfucontrol/probe.go
+++ b/io/process/dfucontrol/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
@@ -20,7 +21,7 @@
 
 // probe pings the store at short intervals while the node is a watcher, since a watch that
 // waits for a change doesn't show whether the store still answers. If a ping fails, the store
-// counts as lost, and the watches are canceled. The revision that a ping returns shows watches
+// counts as lost, and the watches are canceled until a ping is answered. The revision that a ping returns shows watches
 // whose answer was lost; one watcher of a zone checks that, since it advertises what it finds.
 func (c *Controller) probe(ctx context.Context) error {
 	if err := c.awaitWatchStart(ctx); err != nil {
@@ -29,7 +30,7 @@
 	timeout := c.cfg.ProbeTimeout
 	var frequentUntil dfuclock.Time
 	for {
-		if !c.watcher.Load() || c.storeLost.Load() {
+		if !c.watcher.Load() && !c.storeLost.Load() {
 			if err := sleep(ctx, c.cfg.Membership.TickPeriod); err != nil {
 				return err
 			}
@@ -42,8 +43,10 @@
 			return ctx.Err()
 		case err != nil:
 			c.recordStoreFailure("ping", err)
-			c.loseStore()
 			timeout = min(2*timeout, c.cfg.ProbeTimeoutMax)
+			if err := c.awaitStore(ctx); err != nil {
+				return err
+			}
 		case c.deps.Clock.Now().Sub(began) < c.cfg.ProbeTimeout:
 			timeout = c.cfg.ProbeTimeout
 		}
@@ -60,6 +63,44 @@
 	}
 }
 
+// awaitStore makes the node hand over the watch of the store, and pings the store until it
+// answers. A ping doesn't wait for the end of the one before, which may get no answer although
+// the store is back.
+func (c *Controller) awaitStore(ctx context.Context) error {
+	c.storeSilent.Store(true)
+	c.lose(c.watches...)
+	for _, w := range c.watches {
+		if cancel := w.cancel.Load(); cancel != nil {
+			(*cancel)(errUnanswered)
+		}
+	}
+	pingCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answered := make(chan struct{}, 1)
+	for {
+		go func() {
+			if _, err := c.ping(pingCtx, nil, c.cfg.ProbeTimeoutMax); err == nil {
+				select {
+				case answered <- struct{}{}:
+				default:
+				}
+			}
+		}()
+		timer := time.NewTimer((c.cfg.ProbePeriod/2 + c.jitter(c.cfg.ProbePeriod/2)).Std())
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-answered:
+			timer.Stop()
+			c.storeSilent.Store(false)
+			c.endBackoffs()
+			return nil
+		case <-timer.C:
+		}
+	}
+}
+
 // ping returns a revision of the store, or zero if it is unknown. Unless w is nil, it reads the
 // records of w's prefix, which are covered up to that revision if none has changed.
 func (c *Controller) ping(ctx context.Context, w *prefixWatch, timeout dfuclock.Duration) (dfuident.Revision, error) {
@@ -87,13 +128,3 @@
 	}
 	return errors.Mark(err, errUnanswered)
 }
-
-// loseStore makes the node hand over the watch of the store.
-func (c *Controller) loseStore() {
-	c.storeLost.Store(true)
-	for _, w := range c.watches {
-		if cancel := w.cancel.Load(); cancel != nil {
-			(*cancel)(errUnanswered)
-		}
-	}
-}
--- /dev/null
+++ b/io/process/dfucontrol/return_test.go
@@ -0,0 +1,119 @@
+package dfucontrol_test
+
+import (
+	"testing"
+	"time"
+
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/io/process/dfucontrol"
+)
+
+// maxReturnDelay is the time after a disturbance of the store from which changes have to be in
+// force in time again. It is the stability window of the deployments.
+const maxReturnDelay = 3 * time.Second
+
+// outages are the ways in which the store is away for a node.
+var outages = map[string]func(s *nodeStore, active bool){
+	"refused":    func(s *nodeStore, active bool) { s.refused.Store(active) },
+	"unanswered": func(s *nodeStore, active bool) { s.unanswered.Store(active) },
+}
+
+// Changes below all prefixes must come into force in time when the store is back after it has refused
+// or not answered the calls of all nodes, however long that took: the watch of one prefix must
+// not stay in its backoff when another one has found that the store answers.
+func TestChangesAfterAnOutageAreInTime(t *testing.T) {
+	for name, set := range outages {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var runs []*outageRun
+			for _, nodes := range []int{1, 1, 1, 2, 4, 16} {
+				for length := 3 * time.Second; length <= 10*time.Second; length += time.Second {
+					runs = append(runs, newOutageRun(t, nodes, length, set))
+				}
+			}
+			for _, r := range runs {
+				r.awaitStart()
+			}
+			time.Sleep(2 * time.Second)
+			for _, r := range runs {
+				r.begin()
+			}
+			for left := len(runs); left > 0; time.Sleep(10 * time.Millisecond) {
+				for _, r := range runs {
+					if r.step() {
+						left--
+					}
+				}
+			}
+		})
+	}
+}
+
+// outageRun is a fleet whose store is away for some time.
+type outageRun struct {
+	*fleet
+	controllers    []*dfucontrol.Controller
+	length         time.Duration
+	set            func(*nodeStore, bool)
+	began, endedAt time.Time
+	done           bool
+}
+
+func newOutageRun(t *testing.T, nodes int, length time.Duration, set func(*nodeStore, bool)) *outageRun {
+	t.Helper()
+	r := &outageRun{fleet: newFleet(t), length: length, set: set}
+	r.regions = 2
+	r.watchWait = longWatchWait
+	for i := range nodes {
+		c, _ := r.start(i)
+		r.controllers = append(r.controllers, c)
+	}
+	return r
+}
+
+func (r *outageRun) awaitStart() {
+	r.t.Helper()
+	r.wait("every node sees all targets", allAlive(r.controllers, len(r.controllers)))
+	r.wait("two nodes of each zone watch", func() bool { return watcherCount(r.controllers) == min(len(r.controllers), 8) })
+}
+
+func (r *outageRun) begin() {
+	r.began = time.Now()
+	for _, access := range r.access {
+		r.set(access, true)
+	}
+}
+
+// step ends the outage when it is due and makes the changes, and reports whether they have
+// come into force or are late.
+func (r *outageRun) step() bool {
+	switch {
+	case r.done:
+		return false
+	case r.endedAt.IsZero():
+		if time.Since(r.began) >= r.length {
+			for _, access := range r.access {
+				r.set(access, false)
+			}
+			r.store.put("catalogue/service-0", serviceValue(r.t, 0))
+			r.store.put("claims/service-0", []byte("{}"))
+			r.endedAt = time.Now()
+		}
+		return false
+	case time.Since(r.endedAt) > maxReturnDelay:
+		r.t.Errorf("%d nodes, %v: changes are not in force %v after the outage", len(r.controllers), r.length, maxReturnDelay)
+		r.done = true
+	default:
+		r.done = isInForce(r.controllers, 0) && haveClaims(r.controllers, "service-0")
+	}
+	return r.done
+}
+
+func haveClaims(controllers []*dfucontrol.Controller, service dfuident.Service) bool {
+	for _, c := range controllers {
+		if _, ok := c.View().Claims(service); !ok {
+			return false
+		}
+	}
+	return true
+}
--- a/io/process/dfucontrol/watch.go
+++ b/io/process/dfucontrol/watch.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
+	"time"
 
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
@@ -24,8 +26,11 @@
 	retry  backoff
 	// failures is the number of failures since the last full list.
 	failures int
-	// nextCheckAt is when a node that has lost the store tries again.
-	nextCheckAt dfuclock.Time
+	// lost is set from the failure by which the store counts as lost until the next full
+	// list. Controller.lostMu guards it.
+	lost bool
+	// returned gets a value when the store answers again, which ends the backoff.
+	returned chan struct{}
 	// cancel cancels the current or latest call of follow.
 	cancel atomic.Pointer[context.CancelCauseFunc]
 	// recordBytes is the size of the records in the latest full list, or of a larger answer
@@ -39,15 +44,14 @@
 
 // watch watches the records under a prefix while the node is a watcher. After a
 // failure it starts again with a full list. A node that has lost the store, and with it
-// the role of a watcher, continues to try at long intervals. With ReadAtStart it begins when
+// the role of a watcher, continues until it has listed every prefix. With ReadAtStart it begins when
 // the nodes that start together have met, since each considers itself a watcher before that.
 func (c *Controller) watch(ctx context.Context, w *prefixWatch) error {
 	if err := c.awaitWatchStart(ctx); err != nil {
 		return err
 	}
 	for {
-		isCheckDue := c.storeLost.Load() && !c.deps.Clock.Now().Before(w.nextCheckAt)
-		if !c.watcher.Load() && !isCheckDue {
+		if c.storeSilent.Load() || !c.watcher.Load() && !c.hasLost(w) {
 			if err := sleep(ctx, c.cfg.Membership.TickPeriod); err != nil {
 				return err
 			}
@@ -71,16 +75,74 @@
 		if err != nil && !errors.Is(err, dfustore.ErrCompacted) {
 			c.recordStoreFailure("watch "+w.prefix, err)
 			if w.failures++; w.failures >= failuresUntilLost || isUnanswered {
-				c.storeLost.Store(true)
-				w.nextCheckAt = c.deps.Clock.Now().Add(c.cfg.RetryMax)
+				c.lose(w)
 			}
 		}
-		if err := w.retry.sleep(ctx); err != nil {
+		if err := c.awaitRetry(ctx, w); err != nil {
 			return err
 		}
 	}
 }
 
+// awaitRetry waits for the backoff, or until the store answers again.
+func (c *Controller) awaitRetry(ctx context.Context, w *prefixWatch) error {
+	timer := time.NewTimer(w.retry.nextDelay().Std())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-w.returned:
+		w.retry.reset()
+	case <-timer.C:
+	}
+	return nil
+}
+
+// lose makes the store count as lost until the given prefixes have been listed again.
+func (c *Controller) lose(watches ...*prefixWatch) {
+	c.lostMu.Lock()
+	defer c.lostMu.Unlock()
+	for _, w := range watches {
+		w.lost = true
+	}
+	c.storeLost.Store(true)
+}
+
+// regain records that a prefix has been listed. The store is reached again if no other one is
+// still to be listed: a node that watches only some of them must not take the role of a
+// watcher from others.
+func (c *Controller) regain(w *prefixWatch) {
+	c.lostMu.Lock()
+	wasLost := w.lost
+	w.lost = false
+	c.storeLost.Store(slices.ContainsFunc(c.watches, func(w *prefixWatch) bool { return w.lost }))
+	c.lostMu.Unlock()
+	if wasLost {
+		c.endBackoffs()
+	}
+}
+
+func (c *Controller) hasLost(w *prefixWatch) bool {
+	c.lostMu.Lock()
+	defer c.lostMu.Unlock()
+	return w.lost
+}
+
+// endBackoffs makes the watches that have lost the store try again at once.
+func (c *Controller) endBackoffs() {
+	c.lostMu.Lock()
+	defer c.lostMu.Unlock()
+	for _, w := range c.watches {
+		if !w.lost {
+			continue
+		}
+		select {
+		case w.returned <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // awaitWatchStart waits until the nodes that start together have met, with ReadAtStart.
 func (c *Controller) awaitWatchStart(ctx context.Context) error {
 	if !c.cfg.ReadAtStart {
@@ -105,7 +167,7 @@
 		return err
 	}
 	w.recordBytes.Store(size)
-	c.storeLost.Store(false)
+	c.regain(w)
 	w.failures = 0
 	w.retry.reset()
 	c.deps.Log.Info("watching the store", zap.String("prefix", w.prefix), zap.Uint64("revision", uint64(revision)))
--- a/measure/dfufleet/store.go
+++ b/measure/dfufleet/store.go
@@ -18,7 +18,7 @@
 // These are the values of the daemon.
 const (
 	failuresUntilLost = 2
-	lostCheckPeriod   = 5 * dfuclock.Second
+	lostCheckPeriod   = dfuclock.Second
 	probePeriod       = dfuclock.Second
 	probeTimeout      = 500 * dfuclock.Millisecond
 )
