io/process/dfucontrol: find deaf watches without stale reads

Callers were served by an old table at all nodes of all zones at once, after the watches of the store had ended without a sign or their answers were lost, while stale reads were seconds old.

A watch that has missed an answer looks like one that waits. The revision that a ping returns showed it, but a ping is a stale read, which may be seconds old: nothing was found until the lag had passed. The second watcher of a zone compared its watches with nothing at all, for 25 s.

Three other sources now show what a watch has missed: - the revisions of records that peers hold, two seconds after they are known, at each watcher and without a call to the store; - the revisions of the node's own lists and watches of other prefixes; - a read of the current revision that transfers no record, each 2 s by one node of each region, and with each ping for 10 s after a watch has missed an answer.

The reads cost about 0.5 calls a second in each region.

--- a/core/process/dfumembership/topology.go
+++ b/core/process/dfumembership/topology.go
@@ -28,6 +28,8 @@
 	bridges []*member
 	// bridge is set if the node itself is a bridge.
 	bridge bool
+	// lead is the first-ranked member of this region that may watch the store and reaches it.
+	lead *member
 	// watchRank is the node's position among the members of its zone that may watch the
 	// store, or zoneSize if the node is not among them.
 	watchRank int
@@ -81,6 +83,9 @@
 		if h.update.State == Alive && outranks(h, best[place]) {
 			best[place] = h
 		}
+		if place.Region == m.region && h.isFitToLead(m.self) && outranks(h, l.lead) {
+			l.lead = h
+		}
 		if h != m.self {
 			byPlace[place] = append(byPlace[place], h)
 		}
@@ -138,6 +143,17 @@
 	return m.currentTopology().bridge
 }
 
+// IsRegionLead reports whether the node ranks first among the members of its region that reach
+// the store.
+func (m *Machine) IsRegionLead() bool {
+	return m.currentTopology().lead == m.self
+}
+
+// isFitToLead reports whether a member is known to be alive and to reach the store.
+func (h *member) isFitToLead(self *member) bool {
+	return (h == self || h.update.State == Alive && !h.unresponsive) && !h.update.Details.StoreLost
+}
+
 // GossipPeers returns the members of the region that the node contacts on its
 // own initiative, without those that have not answered it of late.
 func (m *Machine) GossipPeers() []Contact {
--- a/core/version/dfurecord/coverage.go
+++ b/core/version/dfurecord/coverage.go
@@ -45,6 +45,16 @@
 	return c.covered[prefix]
 }
 
+// Latest returns the greatest revision up to which the changes below any watched prefix are
+// known. The store has reached it, while a stale read may return a smaller one.
+func (c *Coverage) Latest() dfuident.Revision {
+	var latest dfuident.Revision
+	for _, upTo := range c.covered {
+		latest = max(latest, upTo)
+	}
+	return latest
+}
+
 // Behind returns the watched prefixes below which there may be unknown changes up to a
 // revision of the store, sorted.
 func (c *Coverage) Behind(revision dfuident.Revision) []string {
--- a/core/version/dfuroster/return_test.go
+++ b/core/version/dfuroster/return_test.go
@@ -8,6 +8,8 @@
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/measure/dfufleet"
+
+	"github.com/matryer/is"
 )
 
 // disturbance is something that keeps nodes from hearing changes for some time.
@@ -137,3 +139,29 @@
 		}
 	}
 }
+
+// Each read of the store's current revision has its price, so that exactly one node of a region
+// may make them, and another one when that loses the store or is gone.
+func TestOneNodeOfARegionLeads(t *testing.T) {
+	is := is.New(t)
+	f := dfufleet.New(dfufleet.DefaultConfig())
+	addNodes(f, 20, 4)
+	leads := func() (ids []dfuident.NodeID) {
+		for _, n := range f.Nodes() {
+			if n.Place.Region == "region-0" && n.Keeper.Membership().IsRegionLead() {
+				ids = append(ids, n.Member.Node)
+			}
+		}
+		return ids
+	}
+	first := leads()
+	is.Equal(len(first), 1)
+	f.SetStoreRefused(first[0], true)
+	f.Run(2 * dfuclock.Second)
+	second := leads()
+	is.Equal(len(second), 1)
+	is.True(second[0] != first[0])
+	f.SetStoreRefused(first[0], false)
+	f.Run(2 * dfuclock.Second)
+	is.Equal(leads(), first)
+}
--- a/io/process/dfucontrol/controller_test.go
+++ b/io/process/dfucontrol/controller_test.go
@@ -43,6 +43,38 @@
 	calls    float64
 	revision dfuident.Revision
 	records  map[string]dfustore.Record
+	// written holds all writes and their times.
+	written []writtenRecord
+}
+
+type writtenRecord struct {
+	dfustore.Record
+	at time.Time
+}
+
+// write must be called with mu held.
+func (s *fakeStore) write(key string, value []byte) {
+	s.revision++
+	s.records[key] = dfustore.Record{Key: key, Value: value, Revision: s.revision}
+	s.written = append(s.written, writtenRecord{s.records[key], time.Now()})
+}
+
+// heldAt returns the records below a prefix and the revision as of an earlier time.
+func (s *fakeStore) heldAt(prefix string, at time.Time) ([]dfustore.Record, dfuident.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := make(map[string]dfustore.Record)
+	var revision dfuident.Revision
+	for _, w := range s.written {
+		if w.at.After(at) {
+			break
+		}
+		revision = w.Revision
+		if strings.HasPrefix(w.Key, prefix) {
+			held[w.Key] = w.Record
+		}
+	}
+	return slices.Collect(maps.Values(held)), revision
 }
 
 func newFakeStore() *fakeStore {
@@ -58,8 +90,7 @@
 func (s *fakeStore) put(key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision++
-	s.records[key] = dfustore.Record{Key: key, Value: value, Revision: s.revision}
+	s.write(key, value)
 }
 
 func (s *fakeStore) Get(_ context.Context, key string) (dfustore.Record, error) {
@@ -142,9 +173,8 @@
 	if current := s.records[key]; current.Revision != expect {
 		return 0, &dfustore.ConflictError{Current: current}
 	}
-	s.revision++
+	s.write(key, value)
 	s.writes++
-	s.records[key] = dfustore.Record{Key: key, Value: value, Revision: s.revision}
 	if s.lostReplies > 0 {
 		s.lostReplies--
 		return 0, dfustore.ErrUncertain
--- a/io/process/dfucontrol/coverage.go
+++ b/io/process/dfucontrol/coverage.go
@@ -17,6 +17,9 @@
 	// watchAnswerDelay is how long after a change the answer of a watch may arrive, including
 	// watchPause.
 	watchAnswerDelay = 250 * dfuclock.Millisecond
+	// peerAnswerDelay is how long after a change is known from peers the answer of a watch may
+	// arrive. It allows for a slow store, and for a large answer over a slow link.
+	peerAnswerDelay = 2 * dfuclock.Second
 	// checkWait is the wait of a watch that only asks for changes that the store already has.
 	checkWait = dfuclock.Millisecond
 	// maxStaleListBytes is the size of the records of a prefix up to which a list costs less
@@ -53,6 +56,47 @@
 	return missed
 }
 
+// restartDeafWatches starts the watches again that have not returned a change that the node
+// knows from peers. This evidence costs no call and is not as old as a stale read may be, but
+// needs another watcher that has got the answer. It reports whether there was one.
+func (c *Controller) restartDeafWatches(now dfuclock.Time) bool {
+	restarted := false
+	for _, w := range c.watches {
+		covered, known := c.covered(w.prefix), dfuident.Revision(w.known.Load())
+		switch {
+		case covered == 0 || known <= covered:
+			w.behind = 0
+		case w.behind <= covered:
+			w.behind, w.behindSince = known, now
+		case now.Sub(w.behindSince) >= peerAnswerDelay:
+			w.behind = 0
+			c.restartWatch(w.cancel.Load(), w, covered, errPeersAhead)
+			restarted = true
+		}
+	}
+	return restarted
+}
+
+// errPeersAhead is the reason for which a watch is started again that has not returned what
+// peers have.
+var errPeersAhead = errors.New("peers have a change that the watch has not returned")
+
+// restartWatch starts a watch again, with a list, unless it has already ended. What it has returned is covered.
+func (c *Controller) restartWatch(cancel *context.CancelCauseFunc, w *prefixWatch, covered dfuident.Revision, reason error) {
+	c.missedAnswers.Add(1)
+	c.deps.Log.Warn("a watch of the store missed an answer", zap.String("prefix", w.prefix),
+		zap.Uint64("after", uint64(covered)), zap.Error(reason))
+	(*cancel)(errAnswerMissed)
+}
+
+// currentRevision returns the revision of the store by a read that is not stale.
+func (c *Controller) currentRevision(ctx context.Context) (dfuident.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.ProbeTimeout.Std())
+	defer cancel()
+	_, revision, err := c.deps.Store.List(ctx, dfustore.PingPrefix)
+	return revision, err
+}
+
 // checkWatch reads the changes that a watch may have missed, and reports whether there are
 // none up to a revision. Otherwise it starts the watch again, with a list. It does so as well
 // if the store doesn't answer or has discarded the changes, but not if it refuses the call.
@@ -76,10 +120,10 @@
 	if err == nil && changes == 0 {
 		return true
 	}
-	c.missedAnswers.Add(1)
-	c.deps.Log.Warn("a watch of the store missed an answer", zap.String("prefix", w.prefix),
-		zap.Uint64("after", uint64(after)), zap.Int("changes", changes), zap.Error(err))
-	(*restart)(errAnswerMissed)
+	if err == nil {
+		err = errors.Newf("%d changes", changes)
+	}
+	c.restartWatch(restart, w, after, err)
 	return false
 }
 
@@ -160,6 +204,12 @@
 	return c.coverage.Covered(prefix)
 }
 
+func (c *Controller) latestRevision() dfuident.Revision {
+	c.coverageMu.Lock()
+	defer c.coverageMu.Unlock()
+	return c.coverage.Latest()
+}
+
 func (c *Controller) behind(revision dfuident.Revision) []string {
 	c.coverageMu.Lock()
 	defer c.coverageMu.Unlock()
--- a/io/process/dfucontrol/owner.go
+++ b/io/process/dfucontrol/owner.go
@@ -192,12 +192,16 @@
 	rank, _ := l.keeper.Membership().WatchRank()
 	c.watcher.Store(l.keeper.Exchange().Watcher())
 	c.firstWatcher.Store(l.keeper.Exchange().Watcher() && rank == 0)
+	c.regionLead.Store(l.keeper.Membership().IsRegionLead())
 	c.synced.Store(l.keeper.Exchange().Synced())
 	if until, ok := l.keeper.Exchange().InForceUntil(); ok {
 		c.inForceUntil.Store(int64(until))
 	}
 	if l.statusStale || !now.Before(l.nextStatusAt) {
 		c.proof.setWatchers(l.keeper.Membership().Watchers())
+		for _, w := range c.watches {
+			w.known.Store(uint64(l.keeper.Exchange().Set().GreatestRevision(w.prefix)))
+		}
 		l.statusStale = false
 		l.nextStatusAt = now.Add(statusPeriod)
 		c.status.Store(l.status(now))
--- a/io/process/dfucontrol/probe.go
+++ b/io/process/dfucontrol/probe.go
@@ -16,7 +16,7 @@
 var errUnanswered = errors.New("the store doesn't answer")
 
 // frequentProbing is how long the node pings twice as often after a watch has missed an answer,
-// since further answers may be lost.
+// and reads the current revision of the store, since further answers may be lost.
 const frequentProbing = 10 * dfuclock.Second
 
 // probe pings the store at short intervals while the node is a watcher, since a watch that
@@ -28,7 +28,7 @@
 		return err
 	}
 	timeout := c.cfg.ProbeTimeout
-	var frequentUntil dfuclock.Time
+	var frequentUntil, nextCurrentAt dfuclock.Time
 	for {
 		if !c.watcher.Load() && !c.storeLost.Load() {
 			if err := sleep(ctx, c.cfg.Membership.TickPeriod); err != nil {
@@ -50,11 +50,16 @@
 		case c.deps.Clock.Now().Sub(began) < c.cfg.ProbeTimeout:
 			timeout = c.cfg.ProbeTimeout
 		}
-		if err == nil && c.firstWatcher.Load() && c.checkWatches(ctx, revision) {
+		isFrequent := began.Before(frequentUntil)
+		readCurrent := isFrequent || c.regionLead.Load() && !began.Before(nextCurrentAt)
+		if readCurrent {
+			nextCurrentAt = began.Add(3*c.cfg.CurrentPeriod/4 + c.jitter(c.cfg.CurrentPeriod/2))
+		}
+		if err == nil && c.findMissedAnswers(ctx, revision, readCurrent) {
 			frequentUntil = c.deps.Clock.Now().Add(frequentProbing)
 		}
 		period := c.cfg.ProbePeriod
-		if c.deps.Clock.Now().Before(frequentUntil) {
+		if isFrequent {
 			period /= 2
 		}
 		if err := sleep(ctx, period/2+c.jitter(period)); err != nil {
@@ -63,6 +68,22 @@
 	}
 }
 
+// findMissedAnswers starts the watches again that have missed an answer, and reports whether
+// there was one. The revision is that of a ping, which may be seconds old. One watcher of a zone
+// compares its watches with it, since each comparison may cost a read.
+func (c *Controller) findMissedAnswers(ctx context.Context, revision dfuident.Revision, readCurrent bool) bool {
+	missed := c.restartDeafWatches(c.deps.Clock.Now())
+	if !c.firstWatcher.Load() {
+		return missed
+	}
+	if readCurrent {
+		if current, err := c.currentRevision(ctx); err == nil {
+			revision = max(revision, current)
+		}
+	}
+	return c.checkWatches(ctx, max(revision, c.latestRevision())) || missed
+}
+
 // awaitStore makes the node hand over the watch of the store, and pings the store until it
 // answers. A ping doesn't wait for the end of the one before, which may get no answer although
 // the store is back.
--- a/io/process/dfucontrol/watch.go
+++ b/io/process/dfucontrol/watch.go
@@ -36,6 +36,13 @@
 	// recordBytes is the size of the records in the latest full list, or of a larger answer
 	// of the watch since.
 	recordBytes atomic.Int64
+	// known is the greatest revision of the records that the node holds, whether from the store
+	// or from peers.
+	known atomic.Uint64
+	// behind is a known revision that the watch has not returned yet, and behindSince when it
+	// was noticed; zero if there is none. Only probe uses them.
+	behind      dfuident.Revision
+	behindSince dfuclock.Time
 }
 
 // failuresUntilLost is the number of consecutive failures of a watch after which the store
--- a/io/process/dfustore/record.go
+++ b/io/process/dfustore/record.go
@@ -20,6 +20,8 @@
 	ClaimsPrefix = "claims/"
 	// ZonePrefix precedes "region/zone" in the key of a zone's nodes.
 	ZonePrefix = "zone/"
+	// PingPrefix precedes no key. A read of it returns only the revision of the store.
+	PingPrefix = "ping/"
 	// QuotaPrefix precedes the number of a shard of quotas in the key of its owner.
 	QuotaPrefix = "quota/"
 	// OperatorPrefix precedes the keys that only operators write: RoutesKey, that of the
