io/process/dfucontrol: ping with the short timeout after taking the role

The node that takes the role of a watcher has to find that it gets no answer either. It pinged with the timeout that an outage before had raised, of 1 or 2 s instead of 0.5 s, since the timeout was kept while the node was no watcher.

It now begins with the short one.

--- a/io/process/dfucontrol/coverage.go
+++ b/io/process/dfucontrol/coverage.go
@@ -81,7 +81,7 @@
 // peers have.
 var errPeersAhead = errors.New("peers have a change that the watch has not returned")
 
-// restartWatch starts a watch again, with a list, unless it has already ended. What it has returned is covered.
+// restartWatch starts a watch again, with a list. What it has returned is covered.
 func (c *Controller) restartWatch(cancel *context.CancelCauseFunc, w *prefixWatch, covered dfuident.Revision, reason error) {
 	c.missedAnswers.Add(1)
 	c.deps.Log.Warn("a watch of the store missed an answer", zap.String("prefix", w.prefix),
--- a/io/process/dfucontrol/probe.go
+++ b/io/process/dfucontrol/probe.go
@@ -21,8 +21,8 @@
 
 // probe pings the store at short intervals while the node is a watcher, since a watch that
 // waits for a change doesn't show whether the store still answers. If a ping fails, the store
-// counts as lost, and the watches are canceled until a ping is answered. The revision that a ping returns shows watches
-// whose answer was lost; one watcher of a zone checks that, since it advertises what it finds.
+// counts as lost, and the watches are canceled until a ping is answered. The revision that a ping
+// returns shows watches whose answer was lost.
 func (c *Controller) probe(ctx context.Context) error {
 	if err := c.awaitWatchStart(ctx); err != nil {
 		return err
@@ -31,6 +31,7 @@
 	var frequentUntil, nextCurrentAt dfuclock.Time
 	for {
 		if !c.watcher.Load() && !c.storeLost.Load() {
+			timeout = c.cfg.ProbeTimeout
 			if err := sleep(ctx, c.cfg.Membership.TickPeriod); err != nil {
 				return err
 			}
--- a/io/process/dfucontrol/return_test.go
+++ b/io/process/dfucontrol/return_test.go
@@ -1,11 +1,18 @@
 package dfucontrol_test
 
 import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/io/process/dfucontrol"
+	"dragonflyusher/io/process/dfustore"
+
+	"github.com/matryer/is"
 )
 
 // maxReturnDelay is the time after a disturbance of the store from which changes have to be in
@@ -117,3 +124,86 @@
 	}
 	return true
 }
+
+// timedPings records the timeouts of a node's pings.
+type timedPings struct {
+	*nodeStore
+	mu       sync.Mutex
+	timeouts []time.Duration
+}
+
+func (s *timedPings) Ping(ctx context.Context, prefix string) ([]dfustore.Record, dfuident.Revision, error) {
+	deadline, _ := ctx.Deadline()
+	s.mu.Lock()
+	s.timeouts = append(s.timeouts, time.Until(deadline))
+	s.mu.Unlock()
+	return s.nodeStore.Ping(ctx, prefix)
+}
+
+// takeTimeouts returns the timeouts since the last call.
+func (s *timedPings) takeTimeouts() []time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	taken := s.timeouts
+	s.timeouts = nil
+	return taken
+}
+
+// A node that takes the role of a watcher must find soon that it gets no answers either. A timeout
+// that was raised in an earlier outage delayed that by up to 1.5 s.
+func TestNewWatcherPingsWithTheShortTimeout(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.watchWait = longWatchWait
+	stores := make(map[dfuident.NodeID]*timedPings)
+	f.wrapStore = func(s *nodeStore) dfucontrol.Store {
+		p := &timedPings{nodeStore: s}
+		stores[dfuident.NodeID(fmt.Sprintf("vm-%d", len(stores)))] = p
+		return p
+	}
+	controllers := make(map[dfuident.NodeID]*dfucontrol.Controller)
+	var all []*dfucontrol.Controller
+	for i := range 6 { // three in each of two zones
+		c, _ := f.start(i)
+		controllers[dfuident.NodeID(fmt.Sprintf("vm-%d", i))] = c
+		all = append(all, c)
+	}
+	f.wait("every node sees all targets", allAlive(all, 6))
+	f.wait("two nodes of each zone watch", func() bool { return watcherCount(all) == 4 })
+	var idle []dfuident.NodeID
+	for id, c := range controllers {
+		if !c.Status().Watcher {
+			idle = append(idle, id)
+		}
+	}
+	is.Equal(len(idle), 2)
+	takeOver := func() {
+		for id, s := range stores {
+			s.unanswered.Store(!slices.Contains(idle, id))
+		}
+		f.wait("the others watch", func() bool { return controllers[idle[0]].Status().Watcher && controllers[idle[1]].Status().Watcher })
+		time.Sleep(2 * time.Second)
+	}
+	takeOver()
+	for _, s := range stores {
+		s.unanswered.Store(true)
+	}
+	time.Sleep(3 * time.Second)
+	for _, s := range stores {
+		s.unanswered.Store(false)
+	}
+	f.wait("the first nodes watch again", func() bool {
+		return !controllers[idle[0]].Status().Watcher && !controllers[idle[1]].Status().Watcher && watcherCount(all) == 4
+	})
+	time.Sleep(2 * time.Second)
+	for _, id := range idle {
+		stores[id].takeTimeouts()
+	}
+	takeOver()
+	cfg := dfucontrol.DefaultConfig()
+	for _, id := range idle {
+		for _, timeout := range stores[id].takeTimeouts() {
+			is.True(timeout <= cfg.ProbeTimeout.Std() || timeout > cfg.ProbeTimeoutMax.Std()-cfg.ProbeTimeout.Std())
+		}
+	}
+}
