io/connection/dfutarget: take no answer whose head or trailers have malformed lines

Callers got answers in whose head the name of a field held a blank or a control byte: with that line as it was or without the blank, with a second seal or id, with three bytes of eleven as the whole body, or with bytes of the head before the body.

Cause: fasthttp accepts names with spaces, drops spaces behind names, joins folded lines, and ends lines and heads at bare line feeds. The client checked the status line only, and searched for the end of a head otherwise than the parser.

Change: package dfuheader checks each line against RFC 9112, section 5, while the head arrives, and finds its end; the parser reads it only then. It checks interim heads and trailers too. An answer that fails counts as cut, for requests, load queries and health checks, and its connection is closed. Bare line feeds and folded lines, which the RFC lets a gateway refuse, are malformed: a line that begins with a blank can't be told from a field whose name does, and became part of the field before it.

--- a/io/connection/dfutarget/client.go
+++ b/io/connection/dfutarget/client.go
@@ -11,6 +11,7 @@
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/request/dfugate"
 	"dragonflyusher/io/connection/dfudial"
+	"dragonflyusher/io/connection/dfuheader"
 	"dragonflyusher/io/request/dfumessage"
 
 	"github.com/cockroachdb/errors"
@@ -355,6 +356,9 @@
 		if err := body.readChunks(r); err != nil {
 			return err
 		}
+		if err := dfuheader.PeekTrailers(r); err != nil {
+			return err
+		}
 		// Trailers are no part of the header, which states whether the request ran.
 		var trailers fasthttp.ResponseHeader
 		return trailers.ReadTrailer(r)
--- a/io/connection/dfutarget/header.go
+++ b/io/connection/dfutarget/header.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"regexp"
 
+	"dragonflyusher/io/connection/dfuheader"
+
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 )
@@ -40,34 +42,19 @@
 const versionWithChunks = "HTTP/1.1 "
 
 var (
-	transferEncoding = regexp.MustCompile(`(?im)^transfer-encoding[ \t]*:`)
-	validStatusLine  = regexp.MustCompile(`^HTTP/1\.[0-9] +[1-5][0-9]{2}[ \r\n]`)
+	transferEncoding = regexp.MustCompile(`(?im)^transfer-encoding:`)
+	validStatusLine  = regexp.MustCompile(`^HTTP/1\.[0-9] +[1-5][0-9]{2}(?: |$)`)
 	// interimStatusLine matches a valid status line of an interim response.
 	interimStatusLine = regexp.MustCompile(`^HTTP/1\.[0-9] +1`)
 
 	statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] +[0-9]{3}`)
 )
 
-// readHeader reads one header. fasthttp takes status 000 for 200, and passes on any other
-// number of three digits. In other versions than HTTP/1.1, fasthttp ignores
-// Transfer-Encoding: any part of a chunked body would be a whole one that ends with
-// the connection. RFC 9112, 6.1 has such a message treated as faulty. A second status
-// line means that the response was cut and another one follows: fasthttp would combine
-// the fields of both.
+// readHeader reads one header.
 func readHeader(h *fasthttp.ResponseHeader, r *bufio.Reader) error {
-	header, err := peekHeader(r)
-	if err != nil {
+	if _, err := peekHeader(r); err != nil {
 		return err
 	}
-	if !validStatusLine.Match(header) {
-		return errStatusLine
-	}
-	if !bytes.HasPrefix(header, []byte(versionWithChunks)) && transferEncoding.Match(header) {
-		return errFaultyFraming
-	}
-	if bytes.Count(header, []byte("HTTP/")) > 1 && len(statusLine.FindAllIndex(header, 2)) > 1 {
-		return errSecondStatusLine
-	}
 	return h.Read(r)
 }
 
@@ -79,9 +66,9 @@
 		if err != nil {
 			return errors.WithStack(err)
 		}
-		line := bytes.TrimLeft(buffered, "\r\n")
-		if bytes.IndexByte(line, '\n') >= 0 {
-			if !validStatusLine.Match(line) || interimStatusLine.Match(line) {
+		line, _, ok := bytes.Cut(bytes.TrimLeft(buffered, "\r\n"), []byte("\n"))
+		if ok {
+			if line = bytes.TrimSuffix(line, []byte("\r")); !validStatusLine.Match(line) || interimStatusLine.Match(line) {
 				return errStatusLine
 			}
 			return nil
@@ -92,20 +79,29 @@
 	}
 }
 
-// peekHeader waits until r has buffered a whole header and returns it without the
-// empty lines that precede it. It is valid until r is used again.
+// peekHeader waits until r has buffered a whole header, and returns an error unless it is
+// valid. fasthttp takes status 000 for 200, and passes on any other number of three digits.
+// In other versions than HTTP/1.1, fasthttp ignores Transfer-Encoding: any part of a chunked
+// body would be a whole one that ends with the connection. RFC 9112, 6.1 has such a message
+// treated as faulty. A second status line means that the response was cut and another one
+// follows: fasthttp would combine the fields of both.
 func peekHeader(r *bufio.Reader) ([]byte, error) {
-	for {
-		buffered, err := r.Peek(r.Buffered())
-		if err != nil {
-			return nil, errors.WithStack(err)
-		}
-		header := bytes.TrimLeft(buffered, "\r\n")
-		if end := bytes.Index(header, []byte("\r\n\r\n")); end >= 0 {
-			return header[:end+len("\r\n")], nil
-		}
-		if _, err := r.Peek(len(buffered) + 1); err != nil {
-			return nil, errors.Wrap(err, "read response header")
-		}
+	header, err := dfuheader.Peek(r, checkStatusLine)
+	switch {
+	case err != nil:
+		return nil, errors.Wrap(err, "read response header")
+	case !bytes.HasPrefix(header, []byte(versionWithChunks)) && transferEncoding.Match(header):
+		return nil, errors.WithStack(errFaultyFraming)
+	case bytes.Count(header, []byte("HTTP/")) > 1 && len(statusLine.FindAllIndex(header, 2)) > 1:
+		return nil, errors.WithStack(errSecondStatusLine)
+	default:
+		return header, nil
+	}
+}
+
+func checkStatusLine(line []byte) error {
+	if !validStatusLine.Match(line) {
+		return errors.WithStack(errStatusLine)
 	}
+	return nil
 }
