--- a/io/connection/dfutarget/header.go
+++ b/io/connection/dfutarget/header.go
@@ -58,25 +58,14 @@
 	return h.Read(r)
 }
 
-// CheckStatusLine waits for the status line of a response and returns an error unless its
-// status is from 200 to 599. It consumes nothing.
-func CheckStatusLine(r *bufio.Reader) error {
-	for {
-		buffered, err := r.Peek(r.Buffered())
-		if err != nil {
-			return errors.WithStack(err)
-		}
-		line, _, ok := bytes.Cut(bytes.TrimLeft(buffered, "\r\n"), []byte("\n"))
-		if ok {
-			if line = bytes.TrimSuffix(line, []byte("\r")); !validStatusLine.Match(line) || interimStatusLine.Match(line) {
-				return errStatusLine
-			}
-			return nil
-		}
-		if _, err := r.Peek(len(buffered) + 1); err != nil {
-			return errors.Wrap(err, "read status line")
-		}
+// CheckHeader waits for the header of a response and returns an error unless it is valid and
+// its status is from 200 to 599. It consumes nothing.
+func CheckHeader(r *bufio.Reader) error {
+	header, err := peekHeader(r)
+	if err == nil && interimStatusLine.Match(header) {
+		return errors.WithStack(errStatusLine)
 	}
+	return err
 }
 
 // peekHeader waits until r has buffered a whole header, and returns an error unless it is
