io/connection/dfuserver: refuse requests whose header or trailers have malformed lines

Targets got requests with a line such as "Content- Length: 3" or "X Odd: v" as it was, and fields that the caller had hidden behind a bare line feed. Behind a line feed that the parser took for the end of a header, a further request was served. Another reader may see other fields, or another end of the request.

Change: the lines of a header are checked as they were received, and trailers before they are read. The caller gets 400, and the connection closes.

--- a/io/connection/dfuserver/body.go
+++ b/io/connection/dfuserver/body.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/io/connection/dfuheader"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -117,6 +118,9 @@
 	} else {
 		request.SetBodyRaw(c.server.join(&b, b.size))
 	}
+	if err := dfuheader.PeekTrailers(c.reader); err != nil {
+		return err
+	}
 	return request.Header.ReadTrailer(c.reader)
 }
 
--- a/io/connection/dfuserver/conn.go
+++ b/io/connection/dfuserver/conn.go
@@ -12,6 +12,7 @@
 	"dragonflyusher/core/connection/dfupipeline"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/io/connection/dfubody"
+	"dragonflyusher/io/connection/dfuheader"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -312,6 +313,9 @@
 	c.limitRead(c.server.cfg.Timeouts().Header)
 	err := request.Header.Read(c.reader)
 	c.buffer.Received()
+	if err == nil {
+		err = checkFields(&request.Header)
+	}
 	if err != nil {
 		return err
 	}
@@ -323,6 +327,16 @@
 	return c.readBody(x)
 }
 
+// checkFields returns an error if a header has a malformed line. A target could read other
+// fields in it than fasthttp, or another end of the header or the body.
+func checkFields(header *fasthttp.RequestHeader) error {
+	lines := header.RawHeaders()
+	if len(lines) == 0 {
+		return nil
+	}
+	return dfuheader.CheckFields(lines)
+}
+
 const continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
 
 // sendContinue sends an interim response once the responses to all earlier requests
