io/process/dfunode: limit connections and memory at the admin addresses

Clients that stayed open at an address for targets and probes took all descriptors of the node: 718 of 512, and with the system's limit its pages gave no answer any more. Bodies that stopped short there took 208 MiB of 128.

The pages had a server of their own, without a limit of connections or of time, whose bodies no budget counted. They are now served by dfuserver, as callers are: the connection that is idle for longest is closed for a new one (limits.admin_connections), headers and bodies have time limits, and all requests have a memory of 4 MiB, apart from that of callers, so that neither crowd can keep the other's requests from being read.

--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -42,7 +42,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
-	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 )
 
@@ -58,9 +57,6 @@
 	// defaultHealthPath is the path at which a target reports its load if the
 	// routes don't give one.
 	defaultHealthPath = "/health"
-	// maxAdminBodyBytes bounds the body of a request to an admin address, such as
-	// an announcement.
-	maxAdminBodyBytes = 1 << 20
 )
 
 // errSuperseded ends a run of a node that has been started again elsewhere.
@@ -85,7 +81,7 @@
 	server         *dfupeer.Server
 	store          dfustore.Store
 	adapters       Adapters
-	adminServers   []*fasthttp.Server
+	adminServers   []*dfuserver.Server
 	adminListeners []net.Listener
 	control        *dfucontrol.Controller
 	callerServer   *dfufront.CallerServer
@@ -159,6 +155,7 @@
 	n.tracer = tracer
 	n.control = n.newControl()
 	n.callerServer = n.newCallerServer()
+	n.adminServers = n.newAdminServers()
 	n.server, err = dfupeer.NewServer(n.peerListener)
 	if err != nil {
 		return nil, err
@@ -196,7 +193,7 @@
 	wg.Go(n.server.Run)
 	for i, l := range n.adminListeners {
 		wg.Go(func() {
-			if err := n.adminServers[i].Serve(retryingListener{l}); err != nil {
+			if err := n.adminServers[i].Run(l); err != nil {
 				n.log.Error("admin server failed", zap.Error(err))
 			}
 		})
@@ -238,7 +235,7 @@
 }
 
 // adminCloseTimeout bounds how long a node that has left waits for the connections to
-// its pages. fasthttp waits 5 s for a connection on which nothing was sent.
+// its pages.
 const adminCloseTimeout = 100 * time.Millisecond
 
 // closeAdmin closes the servers of the node's pages.
@@ -247,7 +244,7 @@
 	defer cancel()
 	var err error
 	for _, admin := range n.adminServers {
-		if closeErr := admin.ShutdownWithContext(ctx); !errors.Is(closeErr, context.DeadlineExceeded) {
+		if closeErr := admin.Close(ctx); !errors.Is(closeErr, context.DeadlineExceeded) {
 			err = errors.CombineErrors(err, closeErr)
 		}
 	}
@@ -287,24 +284,10 @@
 			return errors.Wrap(err, "listen.admin")
 		}
 		n.adminListeners = append(n.adminListeners, l)
-		n.adminServers = append(n.adminServers, &fasthttp.Server{
-			Handler:               n.serveAdmin,
-			MaxRequestBodySize:    maxAdminBodyBytes,
-			NoDefaultServerHeader: true,
-			CloseOnShutdown:       true,
-			Logger:                discardLogger{},
-		})
 	}
 	return nil
 }
 
-// discardLogger is a logger that discards fasthttp's own log lines, which are not
-// JSON.
-type discardLogger struct{}
-
-// Printf discards the line.
-func (discardLogger) Printf(string, ...any) {}
-
 // newCallerServer returns the HTTP server for callers. It also serves the admin
 // pages unless the settings give them separate addresses.
 func (n *Node) newCallerServer() *dfufront.CallerServer {
--- a/io/process/dfusettings/settings.go
+++ b/io/process/dfusettings/settings.go
@@ -225,6 +225,9 @@
 	// CallerConnections is the maximum number of connections of callers. Zero means half of
 	// Descriptors, less those that are reserved for files.
 	CallerConnections int `json:"caller_connections"`
+	// AdminConnections is the maximum number of connections of each admin address. Zero means
+	// that all of them share an eighth of Descriptors, less those that are reserved for files.
+	AdminConnections int `json:"admin_connections"`
 	// LinkMbps is the bandwidth of the VM's network link in Mbit/s; zero means
 	// unknown.
 	LinkMbps float64 `json:"link_mbps"`
@@ -249,9 +252,22 @@
 // MaxCallerConnections returns the maximum number of connections of callers, given the
 // maximum number of descriptors that the system allows; zero means no limit.
 func (l Limits) MaxCallerConnections(bySystem int) int {
-	const reserved, divisor, least = 200, 2, 16
-	if l.CallerConnections > 0 {
-		return l.CallerConnections
+	const divisor = 2
+	return l.connections(l.CallerConnections, bySystem, divisor)
+}
+
+// MaxAdminConnections is MaxCallerConnections for each of a number of admin addresses.
+func (l Limits) MaxAdminConnections(bySystem, addresses int) int {
+	const divisor = 8
+	return l.connections(l.AdminConnections, bySystem, divisor*addresses)
+}
+
+// connections returns the configured number of connections or, if that is zero, a part of the
+// descriptors that aren't reserved; zero means no limit.
+func (l Limits) connections(configured, bySystem, divisor int) int {
+	const reserved, least = 200, 16
+	if configured > 0 {
+		return configured
 	}
 	descriptors := cmp.Or(l.Descriptors, bySystem)
 	if bySystem > 0 {
@@ -380,6 +396,7 @@
 	}
 	c.notNegative("limits.descriptors", float64(l.Descriptors))
 	c.notNegative("limits.caller_connections", float64(l.CallerConnections))
+	c.notNegative("limits.admin_connections", float64(l.AdminConnections))
 	c.notNegative("limits.bodies_bytes", float64(l.Bodies))
 	c.positive("limits.request_body_bytes", int64(l.RequestBody))
 	c.positive("limits.answer_bytes", int64(l.Answer))
