io/connection/dfupeer: limit the connections of other nodes

Clients that opened connections to the address for other nodes and sent nothing took all descriptors of a node: 685 of 512.

The server accepted without a limit and waited for a call without end. It now has a limit (limits.peer_connections, a quarter of the descriptors by default), above which the connection that has had no call for longest is closed for a new one. Nodes open a new link when theirs was closed. A connection with a call isn't closed, so that a call of which nothing arrives for 15 s and a reply of which nothing is read for 15 s end it.

--- a/io/connection/dfupeer/codec.go
+++ b/io/connection/dfupeer/codec.go
@@ -193,7 +193,8 @@
 // serverCodec implements rpc.ServerCodec.
 type serverCodec struct {
 	*codec
-	mu sync.Mutex
+	conn *serverConn
+	mu   sync.Mutex
 	// held holds the memory of the calls that have no reply yet.
 	held map[uint64]*dfubody.Body
 }
@@ -202,12 +203,16 @@
 func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
 	err := c.readHeader()
 	*r = rpc.Request{ServiceMethod: c.read.ServiceMethod, Seq: c.read.Seq}
+	if err == nil {
+		c.conn.beginCall()
+	}
 	return err
 }
 
 // ReadRequestBody reads a call.
 func (c *serverCodec) ReadRequestBody(args any) error {
 	memory, err := c.readMessage(args, c.memory.Open)
+	c.conn.callRead()
 	if memory != nil {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -227,6 +232,7 @@
 	c.held[r.Seq].Release()
 	delete(c.held, r.Seq)
 	c.mu.Unlock()
+	c.conn.endCall()
 	if err != nil {
 		return errors.CombineErrors(err, c.Close())
 	}
--- a/io/connection/dfupeer/server.go
+++ b/io/connection/dfupeer/server.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"dragonflyusher/core/connection/dfuidle"
+	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/io/connection/dfubody"
 
 	"github.com/cockroachdb/errors"
@@ -17,11 +19,18 @@
 type Server struct {
 	listener net.Listener
 	rpc      *rpc.Server
-	mu       sync.Mutex
-	conns    map[net.Conn]struct{}
-	closed   bool
 	wg       sync.WaitGroup
 	memory   *dfubody.Memory
+	// maxConns is the maximum number of connections; zero means no limit.
+	maxConns int
+	clock    dfuclock.Clock
+
+	mu     sync.Mutex
+	conns  map[*serverConn]struct{}
+	closed bool
+	// idle holds the connections without a call. If there are too many connections, the one
+	// that has been idle for longest is closed for a new one.
+	idle *dfuidle.Queue[*serverConn]
 }
 
 // Liveness is the net/rpc receiver of pings.
@@ -36,7 +45,10 @@
 // NewServer returns a server that accepts connections from listener. Receivers must
 // be registered before Run is called.
 func NewServer(listener net.Listener) (*Server, error) {
-	s := &Server{listener: listener, rpc: rpc.NewServer(), conns: map[net.Conn]struct{}{}, memory: unlimitedMemory()}
+	s := &Server{
+		listener: listener, rpc: rpc.NewServer(), conns: map[*serverConn]struct{}{}, memory: unlimitedMemory(),
+		clock: dfuclock.New(), idle: dfuidle.New[*serverConn](minIdle),
+	}
 	if err := s.Register("Liveness", Liveness{}); err != nil {
 		return nil, err
 	}
@@ -48,6 +60,12 @@
 	s.memory = memory
 }
 
+// LimitConnections sets the maximum number of connections; zero means no limit. It must be
+// called before Run.
+func (s *Server) LimitConnections(limit int) {
+	s.maxConns = limit
+}
+
 // Register makes the methods of receiver callable as name.Method. The methods must
 // have the form that net/rpc requires.
 func (s *Server) Register(name string, receiver any) error {
@@ -69,14 +87,16 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		if !s.track(conn) {
+		s.makeRoom()
+		c := s.track(conn)
+		if c == nil {
 			conn.Close()
 			return
 		}
 		s.wg.Go(func() {
-			defer s.untrack(conn)
-			c := newCodec(&lingeringConn{Conn: conn}, s.memory, func() { _ = conn.Close() })
-			s.rpc.ServeCodec(&serverCodec{codec: c, held: map[uint64]*dfubody.Body{}})
+			defer s.untrack(c)
+			codec := newCodec(&lingeringConn{Conn: c}, s.memory, func() { _ = conn.Close() })
+			s.rpc.ServeCodec(&serverCodec{codec: codec, conn: c, held: map[uint64]*dfubody.Body{}})
 		})
 	}
 }
@@ -98,7 +118,7 @@
 // Close closes the sending side, discards the input until the peer closes the connection or
 // lingerTime is over, and then closes the connection.
 func (c *lingeringConn) Close() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+	if half, ok := c.Conn.(*serverConn); ok && half.CloseWrite() == nil {
 		_ = c.SetReadDeadline(time.Now().Add(lingerTime))
 		_, _ = io.Copy(io.Discard, struct{ io.Reader }{c.Conn})
 	}
@@ -129,19 +149,3 @@
 		conn.Close()
 	}
 }
-
-func (s *Server) track(conn net.Conn) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closed {
-		return false
-	}
-	s.conns[conn] = struct{}{}
-	return true
-}
-
-func (s *Server) untrack(conn net.Conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.conns, conn)
-}
--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -161,6 +161,7 @@
 		return nil, err
 	}
 	n.server.LimitMemory(n.bodies)
+	n.server.LimitConnections(settings.Limits.MaxPeerConnections(systemDescriptors()))
 	err = n.server.Register("Gate", &gateReceiver{components: &n.components, view: n.control.View, bodies: n.bodies})
 	return n, errors.CombineErrors(err, n.server.Register(dfucontrol.ReceiverName, n.control.Receiver()))
 }
--- a/io/process/dfusettings/settings.go
+++ b/io/process/dfusettings/settings.go
@@ -228,6 +228,9 @@
 	// AdminConnections is the maximum number of connections of each admin address. Zero means
 	// that all of them share an eighth of Descriptors, less those that are reserved for files.
 	AdminConnections int `json:"admin_connections"`
+	// PeerConnections is the maximum number of connections that other nodes have opened. Zero
+	// means a quarter of Descriptors, less those that are reserved for files.
+	PeerConnections int `json:"peer_connections"`
 	// LinkMbps is the bandwidth of the VM's network link in Mbit/s; zero means
 	// unknown.
 	LinkMbps float64 `json:"link_mbps"`
@@ -262,6 +265,12 @@
 	return l.connections(l.AdminConnections, bySystem, divisor*addresses)
 }
 
+// MaxPeerConnections is MaxCallerConnections for the connections that other nodes have opened.
+func (l Limits) MaxPeerConnections(bySystem int) int {
+	const divisor = 4
+	return l.connections(l.PeerConnections, bySystem, divisor)
+}
+
 // connections returns the configured number of connections or, if that is zero, a part of the
 // descriptors that aren't reserved; zero means no limit.
 func (l Limits) connections(configured, bySystem, divisor int) int {
@@ -397,6 +406,7 @@
 	c.notNegative("limits.descriptors", float64(l.Descriptors))
 	c.notNegative("limits.caller_connections", float64(l.CallerConnections))
 	c.notNegative("limits.admin_connections", float64(l.AdminConnections))
+	c.notNegative("limits.peer_connections", float64(l.PeerConnections))
 	c.notNegative("limits.bodies_bytes", float64(l.Bodies))
 	c.positive("limits.request_body_bytes", int64(l.RequestBody))
 	c.positive("limits.answer_bytes", int64(l.Answer))
