io/connection/dfupeer: limit the calls of other nodes that have no reply

A client that called a node again and again and didn't read the replies took its memory: 232 MiB of 128 with 400,000 pings on each of four connections.

net/rpc starts a goroutine for each call, and these wait for each other's replies to be written.

--- a/io/connection/dfupeer/server.go
+++ b/io/connection/dfupeer/server.go
@@ -31,6 +31,10 @@
 	// idle holds the connections without a call. If there are too many connections, the one
 	// that has been idle for longest is closed for a new one.
 	idle *dfuidle.Queue[*serverConn]
+	// calls is the number of calls that have no reply yet. callEnded is signaled when it
+	// decreases.
+	calls     int
+	callEnded sync.Cond
 }
 
 // Liveness is the net/rpc receiver of pings.
@@ -49,6 +53,7 @@
 		listener: listener, rpc: rpc.NewServer(), conns: map[*serverConn]struct{}{}, memory: unlimitedMemory(),
 		clock: dfuclock.New(), idle: dfuidle.New[*serverConn](minIdle),
 	}
+	s.callEnded.L = &s.mu
 	if err := s.Register("Liveness", Liveness{}); err != nil {
 		return nil, err
 	}
--- a/io/connection/dfupeer/server_conn.go
+++ b/io/connection/dfupeer/server_conn.go
@@ -20,6 +20,10 @@
 	// messagePause is how long nothing may arrive of a call, or be read of a reply. Links
 	// whose peer is silent end much sooner.
 	messagePause = 15 * time.Second
+	// maxCalls is the number of calls without a reply from which on a connection is read only
+	// while it has fewer than fewCalls of them.
+	maxCalls = 4096
+	fewCalls = 16
 )
 
 // errNoHalfClose means that a connection has no sending side of its own.
@@ -79,13 +83,17 @@
 	}
 }
 
-// beginCall records that the header of a call was read.
+// beginCall records that the header of a call was read. It waits while there are too many calls.
 func (c *serverConn) beginCall() {
 	s := c.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for s.calls >= maxCalls && c.calls >= fewCalls {
+		s.callEnded.Wait()
+	}
 	c.inCall = true
 	c.calls++
+	s.calls++
 	s.idle.Remove(&c.place)
 }
 
@@ -104,9 +112,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.calls--
+	s.calls--
 	if _, isOpen := s.conns[c]; isOpen && c.calls == 0 {
 		s.idle.Put(s.clock.Now(), &c.place)
 	}
+	s.callEnded.Broadcast()
 }
 
 // makeRoom waits until there is room for a new connection, for which it closes the one that has
