io/connection/dfupeer: count large messages before they are read

Clients that sent the beginning of a message to the address for other nodes made a node exceed its memory: 281 MiB of 128 with 32 messages of 8 MB that stopped short, 226 with 200 of 1 MB, 666 with 32 that announced 1 GiB.

A gob message was read into memory up to 1 GiB and counted once it was complete, as only raw bodies were expected to be large. Now a message of more than 64 KiB takes twice its length, for itself and what is decoded from it, from the budget before it is read. It may use the part for answers, so that bodies of callers don't keep it out, and its connection ends if there is no room, or if it pauses while others wait.

--- a/io/connection/dfupeer/codec.go
+++ b/io/connection/dfupeer/codec.go
@@ -58,6 +58,8 @@
 	in     *bufio.Reader
 	// abort closes the connection without delivering what was written before.
 	abort func()
+	// message is the memory of the gob message that is being read, if that is large.
+	message *dfubody.Body
 	// read is the header that was read last.
 	read header
 	// peerAcceptsRaw is set once a header from the peer had AcceptsRaw.
@@ -67,14 +69,40 @@
 // newCodec returns a codec for conn. abort closes conn at once.
 func newCodec(conn net.Conn, memory *dfubody.Memory, abort func()) *codec {
 	c := &codec{conn: conn, memory: memory, abort: abort, in: bufio.NewReader(conn), out: bufio.NewWriter(conn)}
-	c.dec = gob.NewDecoder(&messageLimit{in: c.in})
+	c.dec = gob.NewDecoder(&messageLimit{in: c.in, take: c.takeMessage, progress: c.progressMessage})
 	c.enc = gob.NewEncoder(c.out)
 	return c
 }
 
+// messageCopies is how often a gob message is in memory: as it arrived, and decoded.
+const messageCopies = 2
+
+// takeMessage takes the memory of a large gob message. It may use that of answers: the
+// connection ends if there is none, and with it its other calls.
+func (c *codec) takeMessage(size uint64) error {
+	if c.message == nil {
+		c.message = c.memory.OpenAnswer(c.abort)
+	}
+	return c.message.Take(messageCopies*dfuident.Bytes(size), rawWait)
+}
+
+func (c *codec) progressMessage(n int) {
+	if c.message != nil {
+		c.message.Progress(n)
+	}
+}
+
+// decode reads a gob message.
+func (c *codec) decode(message any) error {
+	err := c.dec.Decode(message)
+	c.message.Release()
+	c.message = nil
+	return err
+}
+
 func (c *codec) readHeader() error {
 	c.read = header{}
-	err := c.dec.Decode(&c.read)
+	err := c.decode(&c.read)
 	if c.read.AcceptsRaw {
 		c.peerAcceptsRaw.Store(true)
 	}
@@ -110,7 +138,7 @@
 // readMessage reads the message that follows the header. The memory that it returns is that
 // of a large body; nil if there is none.
 func (c *codec) readMessage(message any, open func(end func()) *dfubody.Body) (*dfubody.Body, error) {
-	if err := c.dec.Decode(message); err != nil {
+	if err := c.decode(message); err != nil {
 		return nil, err
 	}
 	carrier, _ := message.(Carrier)
--- a/io/connection/dfupeer/limit.go
+++ b/io/connection/dfupeer/limit.go
@@ -23,13 +23,19 @@
 	// size is the value of the length bytes read so far, and then the number of
 	// bytes of the message that have not been read yet.
 	size uint64
+	// take, unless nil, is called before a message of more than rawBodyBytes is read. If it
+	// fails, so does the reader. progress is called when some of such a message was read.
+	take     func(size uint64) error
+	progress func(n int)
+	// err is the reason that a message isn't read.
+	err error
 }
 
 // ReadByte is Read for one byte. It makes the decoder read no further than a message.
 func (c *messageLimit) ReadByte() (byte, error) {
 	b, err := c.in.ReadByte()
 	if err == nil && !c.withinLimit([]byte{b}) {
-		return 0, errTooLarge
+		return 0, c.err
 	}
 	return b, err
 }
@@ -39,18 +45,21 @@
 func (c *messageLimit) Read(b []byte) (int, error) {
 	n, err := c.in.Read(b)
 	if !c.withinLimit(b[:n]) {
-		return 0, errTooLarge
+		return 0, c.err
 	}
 	return n, err
 }
 
-// withinLimit processes the bytes read next from the connection. It returns false if
-// a message is larger than maxMessageBytes.
+// withinLimit processes the bytes read next from the connection. It returns false and sets err
+// if a message is larger than maxMessageBytes or can't be taken.
 func (c *messageLimit) withinLimit(b []byte) bool {
 	for len(b) > 0 {
 		if c.lengthLeft == 0 && c.size > 0 {
 			skipped := min(c.size, uint64(len(b)))
 			c.size -= skipped
+			if c.progress != nil {
+				c.progress(int(skipped))
+			}
 			b = b[skipped:]
 			continue
 		}
@@ -64,8 +73,14 @@
 			c.lengthLeft = -int(int8(b[0]))
 		}
 		if c.lengthLeft > 8 || c.size > maxMessageBytes {
+			c.err = errTooLarge
 			return false
 		}
+		if c.lengthLeft == 0 && c.size > rawBodyBytes && c.take != nil {
+			if c.err = c.take(c.size); c.err != nil {
+				return false
+			}
+		}
 		b = b[1:]
 	}
 	return true
