io/connection/dfutarget: count large answers in the budget of all bodies

An answer was counted in a memory of its own while it was read from the target, and then, without a limit, in the budget of bodies until its caller had read it. So answers that nobody read left as much as before to the next ones. Its buffer grew by doubling and could have twice the size that was counted: one of 8 MB took 16. Now it takes its length, or its buffer where the length is unknown, from the budget of all bodies as an answer from a peer does, waits for 200 ms at most, and has no larger buffer.

The tests of the package are unchanged.

--- a/io/connection/dfutarget/body.go
+++ b/io/connection/dfutarget/body.go
@@ -3,12 +3,14 @@
 import (
 	"io"
 	"net/http/httputil"
-	"slices"
-	"sync"
+	"time"
 
+	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/io/connection/dfubody"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
 )
 
 const (
@@ -24,52 +26,32 @@
 	errNoMemory       = errors.New("the memory for large answers is used up")
 )
 
-// Memory limits the memory of large answers that are being read at the same time. It
-// is safe for concurrent use.
-type Memory struct {
-	mu   sync.Mutex
-	left dfuident.Bytes
-}
-
-// NewMemory returns a Memory of the given size.
-func NewMemory(size dfuident.Bytes) *Memory {
-	return &Memory{left: size}
-}
-
-// take reserves n bytes and reports whether they were left.
-func (m *Memory) take(n dfuident.Bytes) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if n > m.left {
-		return false
-	}
-	m.left -= n
-	return true
-}
+// answerWait is how long a large answer waits for its memory, as one from a peer does.
+const answerWait = 200 * time.Millisecond
 
-func (m *Memory) release(n dfuident.Bytes) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.left += n
+// NewMemory returns a memory of the given size for the large answers that are being read at the
+// same time.
+func NewMemory(size dfuident.Bytes) *dfubody.Memory {
+	return dfubody.NewMemory(dfubody.Limits{Total: size}, dfuclock.New(), metrics.NewRegistry())
 }
 
 // bodyReader reads the body of one answer into memory.
 type bodyReader struct {
 	limit  dfuident.Bytes
-	memory *Memory
-	// taken is the part of memory that the body occupies.
-	taken dfuident.Bytes
+	memory *dfubody.Memory
+	// share is the part of memory that the body occupies.
+	share *dfubody.Body
 	body  []byte
 	// untilClose is set if the end of the connection ended the body.
 	untilClose bool
 }
 
 // read reads until EOF. It returns an error if the body exceeds the limit or its share
-// of the memory. The buffer grows with what arrives, not with what is announced.
+// of the memory. The buffer grows with what arrives.
 func (b *bodyReader) read(r io.Reader) error {
 	for {
 		if len(b.body) == cap(b.body) {
-			if err := b.grow(); err != nil {
+			if err := b.resize(max(2*cap(b.body), minBodyBuffer)); err != nil {
 				return err
 			}
 		}
@@ -78,6 +60,8 @@
 		switch {
 		case dfuident.Bytes(len(b.body)) > b.limit:
 			return errAnswerTooLarge
+		case errors.Is(err, io.EOF) && len(b.body) > freeAnswerBytes:
+			return b.resize(len(b.body))
 		case errors.Is(err, io.EOF):
 			return nil
 		case err != nil:
@@ -91,18 +75,12 @@
 	if dfuident.Bytes(length) > b.limit {
 		return errAnswerTooLarge
 	}
-	if length <= freeAnswerBytes {
-		b.body = slices.Grow(b.body, length)[:length]
-		_, err := io.ReadFull(r, b.body)
+	if err := b.resize(length); err != nil {
 		return err
 	}
-	if err := b.read(io.LimitReader(r, int64(length))); err != nil {
-		return err
-	}
-	if len(b.body) < length {
-		return io.ErrUnexpectedEOF
-	}
-	return nil
+	b.body = b.body[:length]
+	_, err := io.ReadFull(r, b.body)
+	return err
 }
 
 // readChunks reads a chunked body up to its trailers.
@@ -110,26 +88,26 @@
 	return b.read(httputil.NewChunkedReader(r))
 }
 
-// grow doubles the buffer.
-func (b *bodyReader) grow() error {
-	size := max(2*cap(b.body), minBodyBuffer)
+// resize replaces the buffer by one of the given size, which takes its own share of the memory
+// while both exist.
+func (b *bodyReader) resize(size int) error {
+	var share *dfubody.Body
 	if size > freeAnswerBytes && b.memory != nil {
-		added := dfuident.Bytes(size) - b.taken
-		if !b.memory.take(added) {
-			return errNoMemory
+		share = b.memory.OpenAnswer(nil)
+		if err := share.Take(dfuident.Bytes(size), answerWait); err != nil {
+			return errors.Wrap(err, errNoMemory.Error())
 		}
-		b.taken += added
 	}
-	grown := make([]byte, len(b.body), size)
-	copy(grown, b.body)
-	b.body = grown
+	resized := make([]byte, len(b.body), size)
+	copy(resized, b.body)
+	b.body = resized
+	b.share.Release()
+	b.share = share
 	return nil
 }
 
 // release returns the share of the memory. The body stays valid.
 func (b *bodyReader) release() {
-	if b.taken > 0 {
-		b.memory.release(b.taken)
-		b.taken = 0
-	}
+	b.share.Release()
+	b.share = nil
 }
--- a/io/connection/dfutarget/client.go
+++ b/io/connection/dfutarget/client.go
@@ -10,6 +10,7 @@
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/request/dfugate"
+	"dragonflyusher/io/connection/dfubody"
 	"dragonflyusher/io/connection/dfudial"
 	"dragonflyusher/io/connection/dfuheader"
 	"dragonflyusher/io/request/dfumessage"
@@ -42,7 +43,7 @@
 	// AnswerLimit is the maximum body size of a response.
 	AnswerLimit dfuident.Bytes
 	// LargeAnswers limits the memory of large responses; nil for no limit.
-	LargeAnswers *Memory
+	LargeAnswers *dfubody.Memory
 	// IdleLimit is the maximum number of idle connections, and IdleTime is how
 	// long an idle connection may be reused.
 	IdleLimit int
--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -461,7 +461,7 @@
 		targetSettings: func() dfusettings.Target { return n.latest.Load().Target },
 		cfg: dfutarget.Config{
 			AnswerLimit:  n.settings.Limits.Answer,
-			LargeAnswers: dfutarget.NewMemory(n.settings.Limits.LargeAnswersBytes()),
+			LargeAnswers: n.answersMemory(),
 			IdleLimit:    maxIdleTargetConns,
 			IdleTime:     targetIdleTimeout,
 			Dialect:      n.adapters.Targets,
@@ -471,6 +471,15 @@
 	return c
 }
 
+// answersMemory returns the memory of large answers that are being read from the target: that of
+// all bodies, so that answers which nobody reads leave less of it, unless that has no limit.
+func (n *Node) answersMemory() *dfubody.Memory {
+	if n.settings.Limits.BodiesBytes() == 0 {
+		return dfutarget.NewMemory(n.settings.Limits.LargeAnswersBytes())
+	}
+	return n.bodies
+}
+
 // bytesPerMsPerMbps is the number of bytes that a link of 1 Mbit/s carries in a
 // millisecond.
 const bytesPerMsPerMbps = 1e6 / 8 / 1e3
