io/connection/dfuserver: count the headers of requests in progress

Clients that pipelined requests with headers of 12 KB made an entry node exceed its memory: 304 MiB of 128 with 200 clients of 64 requests each.

The buffer of a connection was counted, but not what stays of a header until its request is answered: its fields, and their copies in the call and its offer, up to 32 times for each connection. A request now takes four times the length of its header from the budget before it is handled, and waits for it or is refused as for a body.

--- a/io/connection/dfupeer/server_conn.go
+++ b/io/connection/dfupeer/server_conn.go
@@ -136,7 +136,7 @@
 	c, ok := s.idle.Take(s.clock.Now())
 	if ok {
 		delete(s.conns, c)
-		_ = c.Conn.Close()
+		_ = c.Close()
 	}
 	return ok
 }
--- a/io/connection/dfuserver/conn.go
+++ b/io/connection/dfuserver/conn.go
@@ -96,7 +96,7 @@
 		c.step(dfupipeline.InputEnded{})
 	}
 	if x != nil && !c.dispatch(x, err != nil) {
-		x.memory.Release()
+		x.release()
 		x = nil
 	}
 	if x == nil {
@@ -143,7 +143,7 @@
 	c.buffer.Received()
 	x.memory.Received()
 	if err != nil {
-		x.memory.Release()
+		x.release()
 	}
 	if errors.Is(err, errInputEnded) || errors.Is(err, errAtEnd) {
 		return nil, err
@@ -303,7 +303,7 @@
 func (c *conn) releaseExchange(x *Exchange) {
 	x.Ctx.Request.Reset()
 	x.Ctx.Response.Reset()
-	x.memory.Release()
+	x.release()
 	c.server.exchanges.Put(&Exchange{Ctx: x.Ctx})
 }
 
@@ -319,6 +319,9 @@
 	if err != nil {
 		return err
 	}
+	if err := c.takeHeader(x); err != nil {
+		return err
+	}
 	uri := fasthttp.AcquireURI()
 	defer fasthttp.ReleaseURI(uri)
 	if err := uri.Parse(request.Header.Host(), request.Header.RequestURI()); err != nil {
@@ -337,6 +340,19 @@
 	return dfuheader.CheckFields(lines)
 }
 
+// headerCopies is how often a header is in memory until its request is answered: as it arrived,
+// with its fields apart, as part of the call and of its offer.
+const headerCopies = 4
+
+// takeHeader takes memory for the header of x, which stays in memory until its response was
+// written, beyond the buffer that it was read into.
+func (c *conn) takeHeader(x *Exchange) error {
+	c.stopWaiting()
+	x.head = c.server.cfg.Memory.Open(nil)
+	size := headerCopies * dfuident.Bytes(len(x.Ctx.Request.Header.RawHeaders()))
+	return x.head.TakePatiently(size, memoryWait, longestMemoryWait)
+}
+
 const continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
 
 // sendContinue sends an interim response once the responses to all earlier requests
@@ -429,7 +445,7 @@
 // connection is closed.
 func (c *conn) dropUnwritten() {
 	for _, x := range c.unwritten() {
-		x.memory.Release()
+		x.release()
 	}
 }
 
--- a/io/connection/dfuserver/exchange.go
+++ b/io/connection/dfuserver/exchange.go
@@ -26,6 +26,8 @@
 	readyAt time.Time
 	// memory is that of the bodies of request and response; nil if there is none.
 	memory *dfubody.Body
+	// head is the memory of the request's header, until the response was written.
+	head *dfubody.Body
 	// responded is set if the response was set. The mutex of the connection guards it.
 	responded bool
 
@@ -54,6 +56,12 @@
 	}
 }
 
+// release returns the memory of the request and its response.
+func (x *Exchange) release() {
+	x.memory.Release()
+	x.head.Release()
+}
+
 // cancel reports to the handler that the caller has disconnected.
 func (x *Exchange) cancel() {
 	x.mu.Lock()
