core/process/dfumembership: let a watcher lead the region

Found in review. If all four candidates of each zone of a region had lost the store, a fifth node of a zone led the region. It is no watcher and doesn't read the current revision, which nobody did in its place, so that a deaf watch was found by stale reads only.

The lead is now the first-ranked watcher of the zones that reaches the store. It also reads the revision when that is due, not with the next ping: reads were up to 4 s apart with a period of 2 s, and are at most 2.5 s now.

TestLeadOfARegionWatches failed before at both regions and passes.

--- a/core/process/dfumembership/topology.go
+++ b/core/process/dfumembership/topology.go
@@ -28,7 +28,8 @@
 	bridges []*member
 	// bridge is set if the node itself is a bridge.
 	bridge bool
-	// lead is the first-ranked member of this region that may watch the store and reaches it.
+	// lead is the first-ranked member of this region that may watch the store and reaches it;
+	// nil if there is none.
 	lead *member
 	// watchRank is the node's position among the members of its zone that may watch the
 	// store, or zoneSize if the node is not among them.
@@ -69,7 +70,7 @@
 	l := topology{}
 	best := make(map[dfuident.Place]*member)
 	var places []dfuident.Place
-	var candidates []*member
+	candidates := make(map[dfuident.Place][]*member)
 	byPlace := make(map[dfuident.Place][]*member)
 	for _, h := range m.order {
 		place := h.update.Details.Place
@@ -83,17 +84,14 @@
 		if h.update.State == Alive && outranks(h, best[place]) {
 			best[place] = h
 		}
-		if place.Region == m.region && h.isFitToLead(m.self) && outranks(h, l.lead) {
-			l.lead = h
-		}
 		if h != m.self {
 			byPlace[place] = append(byPlace[place], h)
 		}
 		if place == m.self.update.Details.Place {
 			l.zoneSize++
-			if h.update.State == Alive || h == m.self {
-				candidates = append(candidates, h)
-			}
+		}
+		if place.Region == m.region && (h.update.State == Alive || h == m.self) {
+			candidates[place] = append(candidates[place], h)
 		}
 	}
 	slices.SortFunc(places, comparePlaces)
@@ -101,7 +99,13 @@
 		l.addZone(m, place.Region, byPlace[place], best[place])
 	}
 	l.chooseGossipPeers(m.self)
-	l.rankWatchers(m.self, candidates)
+	l.rankWatchers(m.self, candidates[m.self.update.Details.Place])
+	for _, members := range candidates {
+		ranked := rankCandidates(members)
+		if len(ranked) > 0 && !ranked[0].update.Details.StoreLost && outranks(ranked[0], l.lead) {
+			l.lead = ranked[0]
+		}
+	}
 	m.topology = l
 	return &m.topology
 }
@@ -149,11 +153,6 @@
 	return m.currentTopology().lead == m.self
 }
 
-// isFitToLead reports whether a member is known to be alive and to reach the store.
-func (h *member) isFitToLead(self *member) bool {
-	return (h == self || h.update.State == Alive && !h.unresponsive) && !h.update.Details.StoreLost
-}
-
 // GossipPeers returns the members of the region that the node contacts on its
 // own initiative, without those that have not answered it of late.
 func (m *Machine) GossipPeers() []Contact {
@@ -186,28 +185,34 @@
 // the calls of a zone to a store that is down for all.
 const maxWatchCandidates = 4
 
-// rankWatchers ranks the first responsive candidates by score. Those that have lost the
-// store come last.
-func (l *topology) rankWatchers(self *member, candidates []*member) {
-	slices.SortFunc(candidates, func(a, b *member) int { return compareScores(b, a) })
-	if position := slices.Index(candidates, self); position >= 0 {
-		l.predecessors = slices.Clone(candidates[:position])
+// rankWatchers determines the node's rank among the members of its zone.
+func (l *topology) rankWatchers(self *member, members []*member) {
+	slices.SortFunc(members, func(a, b *member) int { return compareScores(b, a) })
+	if position := slices.Index(members, self); position >= 0 {
+		l.predecessors = slices.Clone(members[:position])
 	}
-	candidates = slices.DeleteFunc(candidates, func(h *member) bool { return h.unresponsive })
-	candidates = candidates[:min(len(candidates), maxWatchCandidates)]
-	slices.SortStableFunc(candidates, func(a, b *member) int {
-		return compareBools(a.update.Details.StoreLost, b.update.Details.StoreLost)
-	})
-	l.ranked = candidates
-	l.watchRank = slices.Index(candidates, self)
+	l.ranked = rankCandidates(members)
+	l.watchRank = slices.Index(l.ranked, self)
 	if l.watchRank < 0 {
 		l.watchRank = l.zoneSize
 	}
 	if l.watchRank >= WatchersPerZone {
-		l.watchers = candidates[:min(len(candidates), WatchersPerZone)]
+		l.watchers = l.ranked[:min(len(l.ranked), WatchersPerZone)]
 	}
 }
 
+// rankCandidates ranks the first responsive members of a zone by score. Those that have lost the
+// store come last.
+func rankCandidates(members []*member) []*member {
+	ranked := slices.DeleteFunc(slices.Clone(members), func(h *member) bool { return h.unresponsive })
+	slices.SortFunc(ranked, func(a, b *member) int { return compareScores(b, a) })
+	ranked = ranked[:min(len(ranked), maxWatchCandidates)]
+	slices.SortStableFunc(ranked, func(a, b *member) int {
+		return compareBools(a.update.Details.StoreLost, b.update.Details.StoreLost)
+	})
+	return ranked
+}
+
 // compareBools orders false before true.
 func compareBools(a, b bool) int {
 	switch {
--- a/core/version/dfuroster/return_test.go
+++ b/core/version/dfuroster/return_test.go
@@ -165,3 +165,23 @@
 	f.Run(2 * dfuclock.Second)
 	is.Equal(leads(), first)
 }
+
+// A node that may not watch the store must not lead its region: it would not make the reads that
+// only watchers make, and nobody would in its place.
+func TestLeadOfARegionWatches(t *testing.T) {
+	f := dfufleet.New(dfufleet.DefaultConfig())
+	addNodes(f, 40, 4)
+	for range 2 { // the first two candidates of each zone, and then the others
+		for _, n := range f.Nodes() {
+			if isWatcher(n) {
+				f.SetStoreRefused(n.Member.Node, true)
+			}
+		}
+		f.Run(2 * dfuclock.Second)
+	}
+	for _, n := range f.Nodes() {
+		if n.Keeper.Membership().IsRegionLead() && !isWatcher(n) {
+			t.Errorf("%v leads its region and watches nothing", n)
+		}
+	}
+}
--- a/io/process/dfucontrol/probe.go
+++ b/io/process/dfucontrol/probe.go
@@ -63,7 +63,11 @@
 		if isFrequent {
 			period /= 2
 		}
-		if err := sleep(ctx, period/2+c.jitter(period)); err != nil {
+		wait := period/2 + c.jitter(period)
+		if c.regionLead.Load() {
+			wait = max(0, min(wait, nextCurrentAt.Sub(c.deps.Clock.Now())))
+		}
+		if err := sleep(ctx, wait); err != nil {
 			return err
 		}
 	}
