io/process/dfucontrol: retry refused watches each second

Found in review. Nothing but another try shows that the store accepts them again, and these were up to 5 s apart.

The backoff of a watch now ends at 1 s.

--- a/io/process/dfucontrol/config.go
+++ b/io/process/dfucontrol/config.go
@@ -83,6 +83,9 @@
 	// to the store.
 	RetryMin dfuclock.Duration
 	RetryMax dfuclock.Duration
+	// WatchRetryMax replaces RetryMax for watches. The store may refuse them while it answers
+	// pings, so that nothing but another try shows when it accepts them again.
+	WatchRetryMax dfuclock.Duration
 	// Senders is the maximum number of concurrent calls to peers.
 	Senders int
 	// RingSize is the capacity of the event queue and of the queue of outgoing
@@ -106,6 +109,7 @@
 		PagePeriod:      30 * dfuclock.Second,
 		RetryMin:        100 * dfuclock.Millisecond,
 		RetryMax:        5 * dfuclock.Second,
+		WatchRetryMax:   dfuclock.Second,
 		Senders:         16,
 		RingSize:        1024,
 	}
--- a/io/process/dfucontrol/controller.go
+++ b/io/process/dfucontrol/controller.go
@@ -102,7 +102,7 @@
 		rand:                deps.Rand,
 	}
 	for _, prefix := range cfg.Prefixes {
-		c.watches = append(c.watches, &prefixWatch{prefix: prefix, retry: c.newBackoff(), returned: make(chan struct{}, 1)})
+		c.watches = append(c.watches, &prefixWatch{prefix: prefix, retry: c.newBackoff(cfg.WatchRetryMax), returned: make(chan struct{}, 1)})
 	}
 	c.proof.renewed = make(chan struct{})
 	c.proof.kick = make(chan struct{}, 1)
--- a/io/process/dfucontrol/controller_test.go
+++ b/io/process/dfucontrol/controller_test.go
@@ -215,12 +215,17 @@
 	*fakeStore
 	refused    atomic.Bool
 	unanswered atomic.Bool
+	// throttled is set if lists and watches are refused, but no stale reads.
+	throttled atomic.Bool
 }
 
 func (s *nodeStore) List(ctx context.Context, prefix string) ([]dfustore.Record, dfuident.Revision, error) {
 	if err := s.check(ctx, 0); err != nil {
 		return nil, 0, err
 	}
+	if s.throttled.Load() {
+		return nil, 0, dfustore.ErrUnavailable
+	}
 	return s.fakeStore.List(ctx, prefix)
 }
 
@@ -232,6 +237,9 @@
 	if lost := s.check(ctx, wait); lost != nil {
 		return nil, 0, lost
 	}
+	if s.throttled.Load() {
+		return nil, 0, dfustore.ErrUnavailable
+	}
 	return records, revision, err
 }
 
--- a/io/process/dfucontrol/page.go
+++ b/io/process/dfucontrol/page.go
@@ -83,7 +83,7 @@
 // if the configuration allows to join that way. The incarnation is above the one that
 // the pages list for this node.
 func (c *Controller) join(ctx context.Context) (joining, error) {
-	retry := c.newBackoff()
+	retry := c.newBackoff(c.cfg.RetryMax)
 	for {
 		nodes, err := c.findPeers(ctx)
 		if err == nil {
@@ -387,7 +387,7 @@
 	if err := c.awaitBridge(ctx, started); err != nil {
 		return err
 	}
-	retry := c.newBackoff()
+	retry := c.newBackoff(c.cfg.RetryMax)
 	for {
 		done, err := c.checkListed(ctx)
 		if done {
--- a/io/process/dfucontrol/return_test.go
+++ b/io/process/dfucontrol/return_test.go
@@ -23,11 +23,13 @@
 var outages = map[string]func(s *nodeStore, active bool){
 	"refused":    func(s *nodeStore, active bool) { s.refused.Store(active) },
 	"unanswered": func(s *nodeStore, active bool) { s.unanswered.Store(active) },
+	"throttled":  func(s *nodeStore, active bool) { s.throttled.Store(active) },
 }
 
 // Changes below all prefixes must come into force in time when the store is back after it has refused
-// or not answered the calls of all nodes, however long that took: the watch of one prefix must
-// not stay in its backoff when another one has found that the store answers.
+// or not answered the calls of all nodes, or refused only their lists and watches, however long that
+// took: the watch of one prefix must not stay in its backoff when another one has found that the store
+// answers.
 func TestChangesAfterAnOutageAreInTime(t *testing.T) {
 	for name, set := range outages {
 		t.Run(name, func(t *testing.T) {
@@ -89,6 +91,9 @@
 	for _, access := range r.access {
 		r.set(access, true)
 	}
+	// Watches that wait would outlast the outage.
+	r.store.put("catalogue/service-1", serviceValue(r.t, 1))
+	r.store.put("claims/service-1", []byte("{}"))
 }
 
 // step ends the outage when it is due and makes the changes, and reports whether they have
--- a/io/process/dfucontrol/watch.go
+++ b/io/process/dfucontrol/watch.go
@@ -331,14 +331,14 @@
 }
 
 // backoff is an exponential backoff with jitter. The delay doubles with every
-// use, up to RetryMax, until it is reset.
+// use, up to max, until it is reset.
 type backoff struct {
-	control *Controller
-	delay   dfuclock.Duration
+	control    *Controller
+	delay, max dfuclock.Duration
 }
 
-func (c *Controller) newBackoff() backoff {
-	return backoff{control: c, delay: c.cfg.RetryMin}
+func (c *Controller) newBackoff(maxDelay dfuclock.Duration) backoff {
+	return backoff{control: c, delay: c.cfg.RetryMin, max: maxDelay}
 }
 
 func (b *backoff) reset() {
@@ -354,6 +354,6 @@
 // delay, and then doubles the delay.
 func (b *backoff) nextDelay() dfuclock.Duration {
 	wait := b.delay/2 + b.control.jitter(b.delay/2)
-	b.delay = min(b.delay*2, b.control.cfg.RetryMax)
+	b.delay = min(b.delay*2, b.max)
 	return wait
 }
