io/process/dfucontrol: check deaf watches beside other answers

Found in review. All watches of one prefix deaf, and records of another one changing each 0.1 to 0.25 s: a change was in force at 16 controllers after 4.7 to 17.9 s.

The check of a watch was given up if any data arrived from the store within 0.25 s, since a large answer may be arriving over a slow link. The answers of other watches did that again and again.

The check now waits until no data arrive for 0.25 s, or for 1 s.

--- a/io/process/dfucontrol/coverage.go
+++ b/io/process/dfucontrol/coverage.go
@@ -20,6 +20,8 @@
 	// peerAnswerDelay is how long after a change is known from peers the answer of a watch may
 	// arrive. It allows for a slow store, and for a large answer over a slow link.
 	peerAnswerDelay = 2 * dfuclock.Second
+	// answerTime is how long a large answer may take while data arrive from the store.
+	answerTime = dfuclock.Second
 	// checkWait is the wait of a watch that only asks for changes that the store already has.
 	checkWait = dfuclock.Millisecond
 	// maxStaleListBytes is the size of the records of a prefix up to which a list costs less
@@ -39,13 +41,9 @@
 	if len(c.behind(revision)) == 0 {
 		return false
 	}
-	received := c.deps.Store.Received()
-	if err := sleep(ctx, watchAnswerDelay); err != nil {
+	if !c.awaitAnswers(ctx, revision) {
 		return false
 	}
-	if c.deps.Store.Received() != received {
-		return false // A large answer may still be arriving over a slow link.
-	}
 	missed := false
 	behind := c.behind(revision)
 	for _, w := range c.watches {
@@ -56,6 +54,23 @@
 	return missed
 }
 
+// awaitAnswers waits for the answers of watches that are on their way, and reports whether one is
+// still behind a revision. While data arrive from the store, a large answer may still be
+// arriving over a slow link; but these may be other answers, which must not postpone the check
+// again and again.
+func (c *Controller) awaitAnswers(ctx context.Context, revision dfuident.Revision) bool {
+	end := c.deps.Clock.Now().Add(answerTime)
+	for {
+		received := c.deps.Store.Received()
+		if err := sleep(ctx, watchAnswerDelay); err != nil || len(c.behind(revision)) == 0 {
+			return false
+		}
+		if c.deps.Store.Received() == received || !c.deps.Clock.Now().Before(end) {
+			return true
+		}
+	}
+}
+
 // restartDeafWatches starts the watches again that have not returned a change that the node
 // knows from peers. This evidence costs no call and is not as old as a stale read may be, but
 // needs another watcher that has got the answer. It reports whether there was one.
--- a/io/process/dfucontrol/stale_read_test.go
+++ b/io/process/dfucontrol/stale_read_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/io/process/dfucontrol"
 	"dragonflyusher/io/process/dfustore"
@@ -124,3 +125,41 @@
 		})
 	}
 }
+
+// deafWatches loses the answers of the watches of one prefix, while data of other answers arrive
+// all the time.
+type deafWatches struct{ *lossyWatches }
+
+func (s *deafWatches) Watch(ctx context.Context, prefix string, after dfuident.Revision, wait dfuclock.Duration) ([]dfustore.Record, dfuident.Revision, error) {
+	if prefix == dfustore.CataloguePrefix {
+		return s.lossyWatches.Watch(ctx, prefix, after, wait)
+	}
+	return s.nodeStore.Watch(ctx, prefix, after, wait)
+}
+
+func (*deafWatches) Received() uint64 { return uint64(time.Now().UnixMilli()) / 100 }
+
+// The answers of other watches must not postpone the check of a deaf one again and again. Load: all
+// watches of one prefix are deaf, and records of another one change each 0.15 s.
+func TestOtherAnswersDontHideADeafWatch(t *testing.T) {
+	f := newFleet(t)
+	f.watchWait = longWatchWait
+	f.wrapStore = func(s *nodeStore) dfucontrol.Store { return &deafWatches{&lossyWatches{nodeStore: s, share: 1}} }
+	var controllers []*dfucontrol.Controller
+	for i := range 8 {
+		c, _ := f.start(i)
+		controllers = append(controllers, c)
+	}
+	f.wait("every node sees all targets", allAlive(controllers, 8))
+	f.wait("two nodes of each zone watch", func() bool { return watcherCount(controllers) == 4 })
+	time.Sleep(3 * time.Second)
+	for change := range 3 {
+		f.store.put(fmt.Sprintf("catalogue/service-%d", change), serviceValue(t, change))
+		for began := time.Now(); !isInForce(controllers, change); time.Sleep(150 * time.Millisecond) {
+			f.store.put("claims/service-0", []byte("{}"))
+			if time.Since(began) > maxReturnDelay {
+				t.Fatalf("change %d is not in force after %v", change, maxReturnDelay)
+			}
+		}
+	}
+}
