--- a/io/process/dfucontrol/probe.go
+++ b/io/process/dfucontrol/probe.go
@@ -59,20 +59,26 @@
 		if err == nil && c.findMissedAnswers(ctx, revision, readCurrent) {
 			frequentUntil = c.deps.Clock.Now().Add(frequentProbing)
 		}
-		period := c.cfg.ProbePeriod
-		if isFrequent {
-			period /= 2
-		}
-		wait := period/2 + c.jitter(period)
-		if c.regionLead.Load() {
-			wait = max(0, min(wait, nextCurrentAt.Sub(c.deps.Clock.Now())))
-		}
-		if err := sleep(ctx, wait); err != nil {
+		if err := sleep(ctx, c.probeWait(isFrequent, nextCurrentAt)); err != nil {
 			return err
 		}
 	}
 }
 
+// probeWait returns a random time until the next ping. The lead of a region pings sooner if it
+// has to read the current revision before.
+func (c *Controller) probeWait(isFrequent bool, nextCurrentAt dfuclock.Time) dfuclock.Duration {
+	period := c.cfg.ProbePeriod
+	if isFrequent {
+		period /= 2
+	}
+	wait := period/2 + c.jitter(period)
+	if c.regionLead.Load() {
+		wait = max(0, min(wait, nextCurrentAt.Sub(c.deps.Clock.Now())))
+	}
+	return wait
+}
+
 // findMissedAnswers starts the watches again that have missed an answer, and reports whether
 // there was one. The revision is that of a ping, which may be seconds old. One watcher of a zone
 // compares its watches with it, since each comparison may cost a read.
