core/process/dfumembership: repair lost updates while others arrive

A node that had been cut off and had missed that a target drains heard of it 24 to 25 s after its return while another member changed each 0.5 to 1.5 s, and went on to send it requests.

A node synchronizes with another one when no member has changed for SettlePeriod; each change began that time again, and only after 30 s it did so anyway. Digests that differ from those of all members of the region for SettlePeriod now lead to a synchronization as well, at most one in SyncPeriod.

--- a/core/process/dfumembership/sync.go
+++ b/core/process/dfumembership/sync.go
@@ -32,9 +32,12 @@
 	next          dfuclock.Time
 	// nextJoined is like next, but for syncs with members that have joined
 	// while this node has not.
-	nextJoined   dfuclock.Time
-	last         dfuclock.Time
-	changedAt    dfuclock.Time
+	nextJoined dfuclock.Time
+	last       dfuclock.Time
+	changedAt  dfuclock.Time
+	// differsSince is since when every digest from the region has differed; zero if the latest
+	// one was equal.
+	differsSince dfuclock.Time
 	buckets      [bucketCount]uint64
 	digest       uint64
 	digestsValid bool
@@ -79,16 +82,25 @@
 // compareDigest starts a sync if the digest in an answer differs and updates
 // appear to be lost rather than still being sent.
 func (m *Machine) compareDigest(now dfuclock.Time, msg Message) {
+	isLocal := msg.From.Region == m.region
 	if msg.Digest == m.Digest() {
+		if isLocal {
+			m.sync.differsSince = 0
+		}
 		m.sync.joined = m.sync.joined || msg.Joined
 		return
 	}
+	if isLocal && m.sync.differsSince == 0 {
+		m.sync.differsSince = now
+	}
 	if !m.Joined() {
 		m.syncToJoin(now, msg)
 		return
 	}
-	settled := now.Sub(m.sync.changedAt) >= m.cfg.SettlePeriod
-	overdue := now.Sub(m.sync.last) >= unsettledSyncPeriods*m.cfg.SyncPeriod && msg.From.Region == m.region
+	// Lost updates must be found although others keep arriving.
+	settled := now.Sub(m.sync.changedAt) >= m.cfg.SettlePeriod ||
+		isLocal && now.Sub(m.sync.differsSince) >= m.cfg.SettlePeriod
+	overdue := now.Sub(m.sync.last) >= unsettledSyncPeriods*m.cfg.SyncPeriod && isLocal
 	if now.Before(m.sync.next) || !settled && !overdue && !m.sync.missedUpdates {
 		return
 	}
--- a/core/version/dfuroster/return_test.go
+++ b/core/version/dfuroster/return_test.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/process/dfumembership"
+	"dragonflyusher/core/version/dfuroster"
 	"dragonflyusher/measure/dfufleet"
 
 	"github.com/matryer/is"
@@ -185,3 +188,31 @@
 		}
 	}
 }
+
+// A node that was cut off and missed that a target drains must hear of it in time, while other
+// members keep changing. Load: a change of another member each 0.5 to 1.5 s.
+func TestNodeThatReturnsHearsOfMembers(t *testing.T) {
+	for _, period := range []dfuclock.Duration{500, 1000, 1500} {
+		for seed := range uint64(6) {
+			t.Run(fmt.Sprintf("each %v, seed %d", period, seed), func(t *testing.T) {
+				cfg := dfufleet.DefaultConfig()
+				cfg.Seed = seed
+				f := dfufleet.New(cfg)
+				addNodes(f, 16, 4)
+				local := f.Nodes()[:16]
+				cut, others := local[2*seed:2*seed+1], slices.Concat(local[:2*seed], local[2*seed+1:])
+				drains, busy := local[(2*seed+4)%16].Member.Node, local[(2*seed+8)%16].Member.Node
+				s := series{fleet: f, period: period, put: func(f *dfufleet.Fleet, change int) {
+					f.Announce(busy, dfuroster.Announced{Target: dfumembership.Target{Service: "lager", Slots: 13 + change}})
+				}}
+				disturbances[0].set(f, cut, others, true)
+				f.Announce(drains, dfuroster.Announced{Target: dfumembership.Target{Service: "lager", Slots: 12, Draining: true}})
+				s.run(2500 * dfuclock.Millisecond)
+				disturbances[0].set(f, cut, others, false)
+				s.run(startTestSettle)
+				n, _ := cut[0].Keeper.View().Node(drains)
+				is.New(t).Equal(n.State, dfuroster.Draining)
+			})
+		}
+	}
+}
