--- a/io/process/dfucontrol/stale_read_test.go
+++ b/io/process/dfucontrol/stale_read_test.go
@@ -32,6 +32,19 @@
 	return s.ListStale(ctx, cmp.Or(prefix, dfustore.PingPrefix))
 }
 
+// startNodes starts nodes and waits until they have met and some of them watch.
+func (f *fleet) startNodes(nodes, watchers int) []*dfucontrol.Controller {
+	f.t.Helper()
+	var controllers []*dfucontrol.Controller
+	for i := range nodes {
+		c, _ := f.start(i)
+		controllers = append(controllers, c)
+	}
+	f.wait("every node sees all targets", allAlive(controllers, nodes))
+	f.wait("two nodes of each zone watch", func() bool { return watcherCount(controllers) == watchers })
+	return controllers
+}
+
 // Stale reads may lag by seconds, so that the revisions that pings return don't show in time that
 // the answer of a watch was lost. Load: a change each 0.5 s at 16 nodes, and stale reads that lag by
 // 6 s.
@@ -47,13 +60,7 @@
 			f.wrapStore = func(s *nodeStore) dfucontrol.Store {
 				return &replica{&lossyWatches{nodeStore: s, share: share}, lag}
 			}
-			var controllers []*dfucontrol.Controller
-			for i := range 16 {
-				c, _ := f.start(i)
-				controllers = append(controllers, c)
-			}
-			f.wait("every node sees all targets", allAlive(controllers, 16))
-			f.wait("two nodes of each zone watch", func() bool { return watcherCount(controllers) == 8 })
+			controllers := f.startNodes(16, 8)
 			time.Sleep(2 * time.Second)
 			checkChangesInTime(f, controllers, 30)
 		})
@@ -75,13 +82,7 @@
 		}
 		return &replica{w, lag}
 	}
-	var controllers []*dfucontrol.Controller
-	for i := range nodes {
-		c, _ := f.start(i)
-		controllers = append(controllers, c)
-	}
-	f.wait("every node sees all targets", allAlive(controllers, nodes))
-	f.wait("all nodes watch", func() bool { return watcherCount(controllers) == nodes })
+	controllers := f.startNodes(nodes, nodes)
 	time.Sleep(2 * time.Second)
 	lag.Store(int64(time.Hour))
 	f.store.put("catalogue/service-0", serviceValue(t, 0))
@@ -104,13 +105,7 @@
 			f.wrapStore = func(s *nodeStore) dfucontrol.Store {
 				return &replica{&lossyWatches{nodeStore: s, share: 1}, stale}
 			}
-			var controllers []*dfucontrol.Controller
-			for i := range 16 {
-				c, _ := f.start(i)
-				controllers = append(controllers, c)
-			}
-			f.wait("every node sees all targets", allAlive(controllers, 16))
-			f.wait("two nodes of each zone watch", func() bool { return watcherCount(controllers) == 8 })
+			controllers := f.startNodes(16, 8)
 			time.Sleep(3 * time.Second)
 			stale.Store(int64(lag))
 			for change := range 4 {
@@ -145,13 +140,7 @@
 	f := newFleet(t)
 	f.watchWait = longWatchWait
 	f.wrapStore = func(s *nodeStore) dfucontrol.Store { return &deafWatches{&lossyWatches{nodeStore: s, share: 1}} }
-	var controllers []*dfucontrol.Controller
-	for i := range 8 {
-		c, _ := f.start(i)
-		controllers = append(controllers, c)
-	}
-	f.wait("every node sees all targets", allAlive(controllers, 8))
-	f.wait("two nodes of each zone watch", func() bool { return watcherCount(controllers) == 4 })
+	controllers := f.startNodes(8, 4)
 	time.Sleep(3 * time.Second)
 	for change := range 3 {
 		f.store.put(fmt.Sprintf("catalogue/service-%d", change), serviceValue(t, change))
