io/request, io/process: log what decided on a request, and records that are dropped

Lines of attempts and of finished requests now have the version, the revision and the age of the table that decided, also where it refused; a list or a restart of a watch has the greatest revision known beside that of the answer; a record of the store that is older than the one held is logged and counted (control.records_dropped).

--- a/core/version/dfuroster/keeper.go
+++ b/core/version/dfuroster/keeper.go
@@ -358,6 +358,7 @@
 		return
 	}
 	if table, err := dfuroute.ParseReadable(r.Value); err == nil {
+		table.Revision, table.InForceSince = r.Revision, k.now
 		k.change.Routes = table
 	}
 }
--- a/core/version/dfuroute/table.go
+++ b/core/version/dfuroute/table.go
@@ -85,6 +85,10 @@
 	// number of workspaces among it.
 	Unreadable           []dfufinding.Finding
 	UnreadableWorkspaces int
+	// Revision is the revision at which the node took the table, and InForceSince when. They
+	// are zero for a table that isn't in force.
+	Revision     dfuident.Revision
+	InForceSince dfuclock.Time
 
 	byCredential map[Credential]*Workspace
 	byName       map[dfuident.Workspace]*Workspace
--- a/io/connection/dfufront/front.go
+++ b/io/connection/dfufront/front.go
@@ -45,7 +45,9 @@
 	// Waited estimates how long the caller has been waiting, including its earlier
 	// tries.
 	Waited dfuclock.Duration
-	// Route is the route that selected Service, or nil.
+	// Routes is the route table that selected Service or refused the call, and Route its
+	// route; both are nil for a call that names its service.
+	Routes    *dfuroute.Table
 	Route     *dfuroute.Route
 	Caller    dfuident.Caller
 	Key       dfuident.Key
--- a/io/process/dfucontrol/coverage.go
+++ b/io/process/dfucontrol/coverage.go
@@ -100,7 +100,7 @@
 func (c *Controller) restartWatch(cancel *context.CancelCauseFunc, w *prefixWatch, covered dfuident.Revision, reason error) {
 	c.missedAnswers.Add(1)
 	c.deps.Log.Warn("a watch of the store missed an answer", zap.String("prefix", w.prefix),
-		zap.Uint64("after", uint64(covered)), zap.Error(reason))
+		zap.Uint64("after", uint64(covered)), zap.Uint64("known", w.known.Load()), zap.Error(reason))
 	(*cancel)(errAnswerMissed)
 }
 
--- a/io/process/dfucontrol/owner.go
+++ b/io/process/dfucontrol/owner.go
@@ -40,6 +40,8 @@
 	// rejected counts them.
 	reported map[string]dfuident.Revision
 	rejected uint64
+	// dropped counts the records of the store that were older than those held.
+	dropped uint64
 }
 
 func newEventLoop(c *Controller, member dfuident.Member) *eventLoop {
@@ -121,6 +123,9 @@
 func (l *eventLoop) step(event dfuroster.Event, answer chan<- dfuroster.Packet) {
 	var reply dfuroster.Packet
 	before := l.keeper.View().Routes()
+	if response, ok := event.(dfuroster.StoreResponse); ok {
+		l.noteDropped(response.Answer)
+	}
 	for _, action := range l.keeper.Step(l.control.deps.Clock.Now(), event) {
 		switch a := action.(type) {
 		case dfuroster.Send:
@@ -151,6 +156,21 @@
 	}
 }
 
+// noteDropped logs and counts the records of a response that are older than those held. They
+// are dropped.
+func (l *eventLoop) noteDropped(answer dfurecord.StoreResponse) {
+	for _, r := range answer.Records {
+		held := l.keeper.Exchange().Set().Revisions(r.Key).Noted
+		if r.Revision >= held {
+			continue
+		}
+		l.dropped++
+		l.control.deps.Log.Warn("a record of the store is older than the one held", zap.String("key", r.Key),
+			zap.Uint64("revision", uint64(r.Revision)), zap.Uint64("held", uint64(held)),
+			zap.Uint64("as_of", uint64(answer.Revision)), zap.Bool("listed", answer.Listed))
+	}
+}
+
 // noteRoutes logs the version of the routes if the event changed it, and where the
 // routes came from, and keeps the peer that provided them.
 func (l *eventLoop) noteRoutes(before *dfuroute.Table, event dfuroster.Event) {
--- a/io/process/dfucontrol/status.go
+++ b/io/process/dfucontrol/status.go
@@ -26,6 +26,8 @@
 	Unreadable []dfufinding.Finding `json:"unreadable,omitempty"`
 	// Rejected counts the versions of records that were rejected since the start.
 	Rejected uint64 `json:"rejected"`
+	// Dropped counts the records of the store that were older than those held.
+	Dropped uint64 `json:"dropped"`
 	// StoreError is the last failed call to the store with its error, or the
 	// last response that was dropped because the event queue was full. It is
 	// empty after the next successful call.
@@ -105,6 +107,7 @@
 	return &Status{
 		Unreadable:        unreadable,
 		Rejected:          l.rejected,
+		Dropped:           l.dropped,
 		Member:            l.keeper.Membership().Self().Member,
 		HasCatalogue:      exchange.Synced(),
 		CatalogueRevision: exchange.Set().GreatestRevision(dfustore.CataloguePrefix),
--- a/io/process/dfucontrol/watch.go
+++ b/io/process/dfucontrol/watch.go
@@ -177,7 +177,8 @@
 	c.regain(w)
 	w.failures = 0
 	w.retry.reset()
-	c.deps.Log.Info("watching the store", zap.String("prefix", w.prefix), zap.Uint64("revision", uint64(revision)))
+	c.deps.Log.Info("watching the store", zap.String("prefix", w.prefix), zap.Uint64("revision", uint64(revision)),
+		zap.Uint64("known", w.known.Load()))
 	c.cover(w.prefix, nil, revision)
 	defer c.dropCoverage(w.prefix)
 	relist := c.deps.Clock.Now().Add(c.cfg.ListPeriod + c.jitter(c.cfg.ListPeriod))
--- a/io/request/dfudispatch/admit.go
+++ b/io/request/dfudispatch/admit.go
@@ -25,6 +25,7 @@
 	if table == nil {
 		return refusedResult(dfuoutcome.ReasonNoCatalogue, "this node has no routes yet")
 	}
+	call.Routes = table
 	path, _, _ := strings.Cut(call.URI, "?")
 	r, ok := table.Match(call.Host, path)
 	switch {
--- a/io/request/dfudispatch/attempt.go
+++ b/io/request/dfudispatch/attempt.go
@@ -103,10 +103,13 @@
 		attribute.String("choice_reason", string(a.Choice)),
 		attribute.String("request_id", a.ID.String()),
 	)
-	d.deps.Log.Info("attempt", zap.String("caller_request", r.call.CallerRequest),
+	fields := []zap.Field{
+		zap.String("caller_request", r.call.CallerRequest),
 		zap.Stringer("request_id", a.ID), zap.Stringer("target", a.To), zap.Int("attempt", a.Attempt),
 		zap.String("attempt_reason", string(a.Reason)), zap.String("choice_reason", string(a.Choice)),
-		zap.Bool("waits", a.Wait), zap.Stringer("remaining", a.Remaining), zap.Stringer("objective", a.Objective))
+		zap.Bool("waits", a.Wait), zap.Stringer("remaining", a.Remaining), zap.Stringer("objective", a.Objective),
+	}
+	d.deps.Log.Info("attempt", append(fields, d.routesFields(r.call.Routes)...)...)
 	ctx, cancel := context.WithCancel(context.Background())
 	r.sent = append(r.sent, a.ID)
 	d.attempts[a.ID] = &attempt{to: node, request: r, cancel: cancel, span: span, sent: d.deps.Clock.Now()}
--- a/io/request/dfudispatch/serve.go
+++ b/io/request/dfudispatch/serve.go
@@ -217,10 +217,19 @@
 		zap.Stringer("deadline", call.Remaining),
 		zap.Stringer("retry_after", result.RetryAfter),
 	}
-	if table := d.view.Load().Routes(); table != nil {
-		fields = append(fields, zap.Uint64("routes_version", uint64(table.Version)))
+	d.deps.Log.Info(message, append(fields, d.routesFields(call.Routes)...)...)
+}
+
+// routesFields describes the route table that decided on a call, if one did.
+func (d *Dispatcher) routesFields(table *dfuroute.Table) []zap.Field {
+	if table == nil {
+		return nil
+	}
+	return []zap.Field{
+		zap.Uint64("routes_version", uint64(table.Version)),
+		zap.Uint64("routes_revision", uint64(table.Revision)),
+		zap.Stringer("routes_age", d.deps.Clock.Now().Sub(table.InForceSince)),
 	}
-	d.deps.Log.Info(message, fields...)
 }
 
 // maxCountedAttempts is the number of attempts from which requests share one
