io/process/dfucontrol: reproduce changes late after the store is restored

The fake store's Watch returns tombstones, as the protocol says, and looks for changes only if there may be any.

--- a/io/process/dfucontrol/controller_test.go
+++ b/io/process/dfucontrol/controller_test.go
@@ -43,8 +43,14 @@
 	calls    float64
 	revision dfuident.Revision
 	records  map[string]dfustore.Record
+	// deleted holds the tombstones since the start or the last restoration.
+	deleted []dfustore.Record
 	// written holds all writes and their times.
 	written []writtenRecord
+	// restored is the content that the store was last restored to, and restoredAt when.
+	restored   map[string]dfustore.Record
+	restoredAt time.Time
+	restoredTo dfuident.Revision
 }
 
 type writtenRecord struct {
@@ -65,18 +71,44 @@
 	defer s.mu.Unlock()
 	held := make(map[string]dfustore.Record)
 	var revision dfuident.Revision
+	isRestored := !at.Before(s.restoredAt)
+	if isRestored {
+		revision = s.restoredTo
+		for key, r := range s.restored {
+			if strings.HasPrefix(key, prefix) {
+				held[key] = r
+			}
+		}
+	}
 	for _, w := range s.written {
 		if w.at.After(at) {
 			break
 		}
+		if isRestored && w.at.Before(s.restoredAt) {
+			continue
+		}
 		revision = w.Revision
-		if strings.HasPrefix(w.Key, prefix) {
+		if w.Deleted {
+			delete(held, w.Key)
+		} else if strings.HasPrefix(w.Key, prefix) {
 			held[w.Key] = w.Record
 		}
 	}
 	return slices.Collect(maps.Values(held)), revision
 }
 
+// restoreTo replaces the content and the revision of the store.
+func (s *fakeStore) restoreTo(records []dfustore.Record, revision dfuident.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = make(map[string]dfustore.Record)
+	for _, r := range records {
+		s.records[r.Key] = r
+	}
+	s.revision, s.deleted = revision, nil
+	s.restored, s.restoredAt, s.restoredTo = maps.Clone(s.records), time.Now(), revision
+}
+
 func newFakeStore() *fakeStore {
 	return &fakeStore{records: make(map[string]dfustore.Record)}
 }
@@ -93,6 +125,17 @@
 	s.write(key, value)
 }
 
+// remove deletes a key.
+func (s *fakeStore) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	delete(s.records, key)
+	deleted := dfustore.Record{Key: key, Revision: s.revision, Deleted: true}
+	s.deleted = append(s.deleted, deleted)
+	s.written = append(s.written, writtenRecord{deleted, time.Now()})
+}
+
 func (s *fakeStore) Get(_ context.Context, key string) (dfustore.Record, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -147,14 +190,47 @@
 	return records, s.revision, nil
 }
 
+// storeState differs when the answer to a waiting watch may differ.
+type storeState struct {
+	revision   dfuident.Revision
+	restoredAt time.Time
+	down       bool
+}
+
+func (s *fakeStore) state() storeState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeState{s.revision, s.restoredAt, s.down}
+}
+
+// changesSince is like since, with tombstones.
+func (s *fakeStore) changesSince(prefix string, after dfuident.Revision) ([]dfustore.Record, dfuident.Revision, error) {
+	records, revision, err := s.since(prefix, after)
+	if err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.deleted {
+		if strings.HasPrefix(r.Key, prefix) && r.Revision > after && r.Revision <= revision {
+			records = append(records, r)
+		}
+	}
+	slices.SortFunc(records, func(a, b dfustore.Record) int { return cmp.Compare(a.Revision, b.Revision) })
+	return records, revision, nil
+}
+
 func (s *fakeStore) Watch(ctx context.Context, prefix string, after dfuident.Revision, wait dfuclock.Duration) ([]dfustore.Record, dfuident.Revision, error) {
 	s.count(1)
 	ctx, cancel := context.WithTimeout(ctx, wait.Std())
 	defer cancel()
-	for {
-		records, revision, err := s.since(prefix, after)
-		if len(records) > 0 || err != nil || ctx.Err() != nil {
-			return records, revision, err
+	for seen := (storeState{}); ; {
+		if state := s.state(); state != seen || ctx.Err() != nil {
+			seen = state
+			records, revision, err := s.changesSince(prefix, after)
+			if len(records) > 0 || err != nil || ctx.Err() != nil {
+				return records, revision, err
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -309,6 +385,8 @@
 	wrapStore func(*nodeStore) dfucontrol.Store
 	// regions is the number of regions with two zones each; zero means one.
 	regions int
+	// operated is set if the nodes replicate the routes and evacuations.
+	operated bool
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -364,6 +442,10 @@
 		cfg.ProofBound = f.proofBound
 		cfg.Prefixes = []string{dfustore.RoutesKey, dfustore.CataloguePrefix}
 	}
+	if f.operated {
+		cfg.Prefixes = []string{dfustore.OperatorPrefix, dfustore.CataloguePrefix}
+		cfg.Evacuations = true
+	}
 	cfg.Membership.SeedPeriod = dfuclock.Second
 	cfg.Membership.DeadRetention = 5 * dfuclock.Second
 	cfg.Node = dfuident.NodeID(fmt.Sprintf("vm-%d", i))
--- /dev/null
+++ b/io/process/dfucontrol/restored_store_test.go
@@ -0,0 +1,203 @@
+package dfucontrol_test
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dragonflyusher/core/process/dfuident"
+	"dragonflyusher/core/version/dfuroute"
+	"dragonflyusher/io/process/dfucontrol"
+	"dragonflyusher/io/process/dfustore"
+)
+
+// restorations are the ways in which the revisions of a store become smaller.
+var restorations = map[string]func(s *fakeStore){
+	"from an older copy": func(s *fakeStore) {
+		s.restoreTo(s.heldAt("", time.Now().Add(-4*time.Second)))
+	},
+	"counted anew": func(s *fakeStore) {
+		records, _, _ := s.since("", 0)
+		for i := range records {
+			records[i].Revision = dfuident.Revision(i + 1)
+		}
+		s.restoreTo(records, dfuident.Revision(len(records)))
+	},
+}
+
+// restore takes the store away for some time and restores it.
+func (f *fleet) restore(restoration func(*fakeStore), outage time.Duration) {
+	if outage == 0 {
+		restoration(f.store)
+		return
+	}
+	f.store.setDown(true)
+	time.Sleep(outage / 2)
+	f.store.setDown(false)
+	restoration(f.store)
+	f.store.setDown(true)
+	time.Sleep(outage / 2)
+	f.store.setDown(false)
+}
+
+func (f *fleet) putRoutes(version int) {
+	f.store.put(dfustore.RoutesKey, fmt.Appendf(nil, `{"version": %d}`, version))
+}
+
+// startOperated starts 16 nodes in four zones that replicate the routes. Stale reads lag.
+func startOperated(t *testing.T, lag time.Duration) (*fleet, []*dfucontrol.Controller) {
+	t.Helper()
+	f := newFleet(t)
+	f.watchWait = longWatchWait
+	f.regions = 2
+	f.operated = true
+	stale := new(atomic.Int64)
+	stale.Store(int64(lag))
+	f.wrapStore = func(s *nodeStore) dfucontrol.Store { return &replica{&lossyWatches{nodeStore: s}, stale} }
+	f.putRoutes(1)
+	return f, f.startNodes(16, 8)
+}
+
+// A store that is restored from an older copy, or counts its revisions anew, gives changes revisions
+// that the nodes have held before. They must come into force in time nevertheless, no node may go
+// back to an older table, and no watch may be started again and again. Load: 16 nodes, a
+// change each 0.5 s.
+func TestChangesAfterTheStoreIsRestoredAreInTime(t *testing.T) {
+	for name, restoration := range restorations {
+		for _, c := range []struct{ outage, lag time.Duration }{
+			{0, 0},
+			{0, 6 * time.Second},
+			{time.Second, 6 * time.Second},
+			{4 * time.Second, 0},
+		} {
+			t.Run(fmt.Sprintf("%s, away for %v, stale reads lag by %v", name, c.outage, c.lag), func(t *testing.T) {
+				t.Parallel()
+				f, controllers := startOperated(t, c.lag)
+				time.Sleep(2 * time.Second)
+				const before, after = 24, 20
+				for version := 2; version <= before; version++ {
+					f.putRoutes(version)
+					time.Sleep(250 * time.Millisecond)
+				}
+				f.restore(restoration, c.outage)
+				checkRoutesInTime(f, controllers, before, after)
+				checkNoRestarts(t, controllers)
+			})
+		}
+	}
+}
+
+// checkRoutesInTime writes versions of the routes after a given one, right after a disturbance of the
+// store, and checks that each is in force at all nodes in time and that none goes back.
+func checkRoutesInTime(f *fleet, controllers []*dfucontrol.Controller, before, changes int) {
+	f.t.Helper()
+	const period = 500 * time.Millisecond
+	began := time.Now()
+	reached := make([]dfuroute.Version, len(controllers))
+	late, latest := 0, time.Duration(0)
+	var written []time.Time
+	for version := before + 1; version <= before+changes; {
+		if len(written) < changes && time.Since(began) >= time.Duration(len(written))*period {
+			f.putRoutes(before + len(written) + 1)
+			written = append(written, time.Now())
+		}
+		inForce := true
+		for i, c := range controllers {
+			current := c.View().Routes().Version
+			if current < reached[i] {
+				f.t.Fatalf("vm-%d goes back from version %d to %d", i, reached[i], current)
+			}
+			reached[i] = current
+			inForce = inForce && int(current) >= version
+		}
+		if inForce && version <= before+len(written) {
+			ackedAt := written[version-before-1]
+			latest = max(latest, time.Since(ackedAt))
+			if time.Since(ackedAt) > maxInForceDelay && time.Since(began) > maxReturnDelay {
+				late++
+			}
+			version++
+			continue
+		}
+		if time.Since(began) > time.Duration(changes)*period+20*time.Second {
+			f.t.Fatalf("version %d is not in force", version)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.t.Logf("the latest change is in force after %v", latest.Round(10*time.Millisecond))
+	if late > 0 {
+		f.t.Errorf("%d of %d changes are in force later than %v, the latest after %v", late, changes, maxInForceDelay, latest)
+	}
+}
+
+// checkNoRestarts fails if watches of a quiet store are started again.
+func checkNoRestarts(t *testing.T, controllers []*dfucontrol.Controller) {
+	t.Helper()
+	count := func() (missed uint64) {
+		for _, c := range controllers {
+			missed += c.Status().MissedAnswers
+		}
+		return missed
+	}
+	time.Sleep(2 * time.Second)
+	before := count()
+	time.Sleep(6 * time.Second)
+	if restarts := count() - before; restarts > 0 {
+		t.Errorf("%d watches were started again", restarts)
+	}
+}
+
+// maxEvacuationDelay is the time in which an evacuation has to be in force.
+const maxEvacuationDelay = 5 * time.Second
+
+// The keys of evacuations come and go. A tombstone from before the store was restored must not hide
+// a key that is written again, nor a former key outlive its deletion. Load: 16 nodes, stale reads lag.
+func TestEvacuationsAfterTheStoreIsRestoredAreInTime(t *testing.T) {
+	const zone = "sued-a"
+	for name, restoration := range restorations {
+		for _, outage := range []time.Duration{0, time.Second} {
+			t.Run(fmt.Sprintf("%s, away for %v", name, outage), func(t *testing.T) {
+				t.Parallel()
+				f, controllers := startOperated(t, 3*time.Second)
+				time.Sleep(5 * time.Second)
+				evacuate := func(active bool) {
+					key := dfustore.EvacuationsPrefix + zone
+					if active {
+						f.store.put(key, []byte("{}"))
+					} else {
+						f.store.remove(key)
+					}
+				}
+				check := func(active bool) {
+					t.Helper()
+					began := time.Now()
+					f.wait("the evacuation is in force", func() bool {
+						for _, c := range controllers {
+							if c.View().IsEvacuated(zone) != active {
+								return false
+							}
+						}
+						return true
+					})
+					t.Logf("evacuation %v is in force after %v", active, time.Since(began).Round(10*time.Millisecond))
+					if took := time.Since(began); took > maxEvacuationDelay {
+						t.Errorf("evacuation %v is in force after %v", active, took)
+					}
+				}
+				for version := 2; version < 12; version++ {
+					f.putRoutes(version)
+				}
+				evacuate(true)
+				check(true)
+				evacuate(false)
+				check(false)
+				f.restore(restoration, outage)
+				evacuate(true)
+				check(true)
+				evacuate(false)
+				check(false)
+			})
+		}
+	}
+}
