core/version, io/process: keep changes in order when the revisions of the store become smaller

Callers were served by a former service, or refused with 404, after an acknowledged change, on all nodes at once and until the store had counted up to its former revision: a set keeps the greatest revision of a key, and a store that was restored from an older copy, or counts anew, gives newer changes smaller ones. They were dropped without a line. Watches were started again each 2.5 s, as the nodes held greater revisions than any list returned.

Revisions now have an era in their upper bits (dfuident.Era); dfustore.Numbered adds it to all that the store returns and removes it from all that it is sent. An era begins when the answers of the store contradict what is held (a newer version, or another value, at a revision that isn't greater; an older record in a list as of a later revision), when linearizable reads stay below a known revision for two seconds, or when a peer has a revision of a later one. Nodes that notice the same restoration begin the same era, and nodes of earlier versions compare the numbers as before. A watch, a write and an answer across eras are refused, and stale reads are no evidence until they can't be from before.

Operators number the versions of the routes, so that a greater version is in force whatever its revision is, and a smaller one never takes its place (VersionOf). Proofs of the routes hold as before: a watch below the revision asked for proves nothing.

--- a/core/process/dfuident/ident.go
+++ b/core/process/dfuident/ident.go
@@ -39,11 +39,6 @@
 // Key is an idempotency key chosen by the caller, unique within a service.
 type Key string
 
-// Revision is the store's revision at the last change of a key. The store
-// increments its revision with every change of any key. It is zero for a key
-// that was never written.
-type Revision uint64
-
 // ChangeID identifies one change of a catalogue entry. The writer chooses it,
 // to find out whether a write took effect if its reply was lost.
 type ChangeID string
--- a/core/version/dfurecord/age_test.go
+++ b/core/version/dfurecord/age_test.go
@@ -16,7 +16,7 @@
 func reads(cfg dfurecord.ExchangeConfig, wait dfuclock.Duration) int {
 	cfg.WatchWait = wait
 	self := dfurecord.Peer{Node: "a", Region: "r", Address: "127.0.0.1:1"}
-	x := dfurecord.NewExchange(self, dfurecord.New(dfurecord.DefaultLimits(), nil), cfg, rand.New(rand.NewPCG(1, 1)))
+	x := dfurecord.NewExchange(self, dfurecord.New(dfurecord.DefaultLimits(), nil, nil), cfg, rand.New(rand.NewPCG(1, 1)))
 	x.Step(1, dfurecord.PeersChanged{ZoneSize: 37})
 	x.Step(1, dfurecord.StoreResponse{Prefix: "p", Listed: true, Revision: 1})
 	n := 0
--- a/core/version/dfurecord/digest.go
+++ b/core/version/dfurecord/digest.go
@@ -53,10 +53,10 @@
 	for _, theirs := range summaries {
 		summarized[theirs.Key] = true
 		own := s.Revisions(theirs.Key)
-		if theirs.Noted > own.Noted || theirs.InForce > own.InForce {
+		if theirs.isNewer(own) {
 			wanted = append(wanted, theirs.Key)
 		}
-		if own.Noted > theirs.Noted || own.InForce > theirs.InForce {
+		if own.isNewer(theirs) {
 			newer = append(newer, theirs.Key)
 		}
 	}
--- a/core/version/dfurecord/exchange.go
+++ b/core/version/dfurecord/exchange.go
@@ -340,8 +340,15 @@
 }
 
 // mergeStoreResponse merges a response of the store. A response from a replica
-// that lags behind the copy does not confirm it.
+// that lags behind the copy does not confirm it. One that contradicts the copy is not merged,
+// since its revisions can't be compared.
 func (x *Exchange) mergeStoreResponse(now dfuclock.Time, e StoreResponse) {
+	for _, r := range e.Records {
+		if x.set.ContradictedBy(r, e.Listed, e.Revision) {
+			x.emit(StoreRestored{Revision: e.Revision})
+			return
+		}
+	}
 	behind := e.Revision < x.set.GreatestRevision(e.Prefix)
 	if e.Listed {
 		for _, r := range x.set.MergeList(e.Prefix, e.Records, e.Revision) {
@@ -465,8 +472,7 @@
 func (x *Exchange) newerKeys(summaries []Summary) []string {
 	var keys []string
 	for _, s := range summaries {
-		own := x.set.Revisions(s.Key)
-		if s.Noted > own.Noted || s.InForce > own.InForce {
+		if s.isNewer(x.set.Revisions(s.Key)) {
 			keys = append(keys, s.Key)
 		}
 	}
--- a/core/version/dfurecord/message.go
+++ b/core/version/dfurecord/message.go
@@ -121,6 +121,11 @@
 // Read requests a full list of each prefix from the store.
 type Read struct{}
 
-func (Send) action()    {}
-func (Changed) action() {}
-func (Read) action()    {}
+// StoreRestored reports that a response with a revision contradicts the records held, so that
+// the revisions of the store have become smaller.
+type StoreRestored struct{ Revision dfuident.Revision }
+
+func (Send) action()          {}
+func (Changed) action()       {}
+func (Read) action()          {}
+func (StoreRestored) action() {}
--- a/core/version/dfurecord/pack_test.go
+++ b/core/version/dfurecord/pack_test.go
@@ -16,7 +16,7 @@
 	t.Helper()
 	is := is.New(t)
 	limits := dfurecord.DefaultLimits()
-	set := dfurecord.New(limits, nil)
+	set := dfurecord.New(limits, nil, nil)
 	set.MergeFromStore(dfurecord.Record{Key: "k", Value: value, Revision: 7}, 7)
 	records := set.Records([]string{"k"}, 1<<20, acceptsPacked)
 	is.Equal(len(records), 1)
@@ -26,7 +26,7 @@
 
 func newExchange(limits dfurecord.Limits) *dfurecord.Exchange {
 	self := dfurecord.Peer{Node: "b", Region: "r", Address: "127.0.0.1:1"}
-	return dfurecord.NewExchange(self, dfurecord.New(limits, nil), dfurecord.DefaultExchangeConfig("k"), rand.New(rand.NewPCG(1, 1)))
+	return dfurecord.NewExchange(self, dfurecord.New(limits, nil, nil), dfurecord.DefaultExchangeConfig("k"), rand.New(rand.NewPCG(1, 1)))
 }
 
 func receive(x *dfurecord.Exchange, r dfurecord.Record) {
--- a/core/version/dfurecord/property_test.go
+++ b/core/version/dfurecord/property_test.go
@@ -57,7 +57,7 @@
 func TestRevisionNeverFalls(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		h := drawHistory(t)
-		s := dfurecord.New(dfurecord.Limits{Keys: historyKeys, Tombstones: 2, ValueBytes: 16}, checkValue)
+		s := dfurecord.New(dfurecord.Limits{Keys: historyKeys, Tombstones: 2, ValueBytes: 16}, checkValue, nil)
 		greatest := make(map[string]dfuident.Revision)
 		for range rapid.IntRange(1, 60).Draw(t, "merges") {
 			revision := rapid.IntRange(1, len(h)).Draw(t, "revision")
@@ -91,7 +91,7 @@
 func TestCopiesConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		h := drawHistory(t)
-		a, b := dfurecord.New(limitsFor(h), checkValue), dfurecord.New(limitsFor(h), checkValue)
+		a, b := dfurecord.New(limitsFor(h), checkValue, nil), dfurecord.New(limitsFor(h), checkValue, nil)
 		for _, r := range h {
 			if rapid.Bool().Draw(t, "a has it") {
 				a.MergeFromPeer(r)
--- a/core/version/dfurecord/record.go
+++ b/core/version/dfurecord/record.go
@@ -24,8 +24,22 @@
 	// Noted is the greatest revision received for the key.
 	Noted dfuident.Revision `json:"noted"`
 	// InForce is the revision whose value is in use. It is less than Noted
-	// while the newest value is invalid.
+	// while the newest value is invalid, or is an older version.
 	InForce dfuident.Revision `json:"in_force"`
+	// Version is the version in force of a key whose writers number its values, zero for
+	// other keys and from nodes that don't report it.
+	Version Version `json:"version,omitempty"`
+}
+
+// isNewer reports whether s has a newer value than another summary of the key.
+func (s Summary) isNewer(than Summary) bool {
+	if s.Noted > than.Noted {
+		return true
+	}
+	if s.Version != 0 && than.Version != 0 && s.Version != than.Version {
+		return s.Version > than.Version
+	}
+	return s.InForce > than.InForce
 }
 
 // Invalid describes a key whose newest value is invalid.
@@ -49,7 +63,7 @@
 	MergedInvalid
 	// AlreadyHeld means that the set already held this revision.
 	AlreadyHeld
-	// Stale means that the set holds a greater revision.
+	// Stale means that the set holds a greater revision, or a greater version.
 	Stale
 	// MaybeDeleted means that the key may have been deleted after this revision
 	// and its tombstone evicted. Only a read of the store can decide.
@@ -88,6 +102,14 @@
 	return Limits{Keys: 4096, Tombstones: 1024, ValueBytes: 1 << 20}
 }
 
+// Version is the number that the writers of a key give its values, in increasing order. It is
+// zero if they don't.
+type Version uint64
+
+// VersionOf returns the version of a valid value. A greater version is newer whatever the
+// revisions are.
+type VersionOf func(key string, value []byte) Version
+
 // Check returns an error if the value is invalid for the key and must not come
 // into force.
 type Check func(key string, value []byte) error
--- a/core/version/dfurecord/session_test.go
+++ b/core/version/dfurecord/session_test.go
@@ -63,7 +63,7 @@
 	sets := make(map[string]*dfurecord.Set)
 	setByName := func(name string) *dfurecord.Set {
 		if sets[name] == nil {
-			sets[name] = dfurecord.New(limits, checkValue)
+			sets[name] = dfurecord.New(limits, checkValue, nil)
 		}
 		return sets[name]
 	}
--- a/core/version/dfurecord/set.go
+++ b/core/version/dfurecord/set.go
@@ -1,6 +1,7 @@
 package dfurecord
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 
@@ -8,10 +9,13 @@
 )
 
 // Set is a bounded collection of records. For each key it keeps the greatest
-// revision received and the greatest valid revision; neither ever decreases. A
+// revision received and the greatest valid revision; neither ever decreases. If the
+// writers of a key number its values, the valid value of the greatest version is in force
+// instead, since the store may return an older one at a greater revision after it was restored. A
 // Set is not safe for concurrent use.
 type Set struct {
 	check      Check
+	versionOf  VersionOf
 	limits     Limits
 	keyState   map[string]*keyState
 	liveKeys   int
@@ -27,21 +31,28 @@
 // keyState is the state of one key.
 type keyState struct {
 	inForce Record
-	// noted is newer than inForce only while invalid is not empty.
+	// version is that of inForce.
+	version Version
+	// noted differs from inForce only while invalid is not empty.
 	noted Record
 	// invalid is the reason why noted is not in force, or empty.
 	invalid string
+	// outdated is set if that reason is that noted is an older version than inForce.
+	outdated bool
 	// evictionFloor is the set's evictionFloor at the time the key was added.
 	evictionFloor dfuident.Revision
 }
 
 // New returns an empty set. A value comes into force only if check accepts it;
-// a nil check accepts all values.
-func New(limits Limits, check Check) *Set {
+// a nil check accepts all values. With a nil versionOf no key has versions.
+func New(limits Limits, check Check, versionOf VersionOf) *Set {
 	if check == nil {
 		check = func(string, []byte) error { return nil }
 	}
-	return &Set{check: check, limits: limits, keyState: make(map[string]*keyState)}
+	if versionOf == nil {
+		versionOf = func(string, []byte) Version { return 0 }
+	}
+	return &Set{check: check, versionOf: versionOf, limits: limits, keyState: make(map[string]*keyState)}
 }
 
 // MergeFromPeer merges one record of a peer's copy.
@@ -163,7 +174,7 @@
 	if full || r.Revision == 0 || dfuident.Bytes(len(r.Value)) > s.limits.ValueBytes {
 		return NotStored
 	}
-	if r.Revision < state.inForce.Revision {
+	if r.Revision < state.inForce.Revision && !s.hasNewerVersion(state, r) {
 		return Stale
 	}
 	// The key may have been deleted after this revision. Only a store response
@@ -175,7 +186,7 @@
 		return AlreadyHeld
 	}
 	s.addToTotals(r.Key, state, -1)
-	result := state.advance(r, s.check)
+	result := s.advance(state, r)
 	s.addToTotals(r.Key, state, +1)
 	if result.Changed() {
 		s.keyState[r.Key] = state
@@ -184,26 +195,79 @@
 	return result
 }
 
-// advance updates the key to a revision that is greater than the one in force.
-func (state *keyState) advance(r Record, check Check) MergeResult {
+// hasNewerVersion reports whether a record has a greater version than the one in force.
+func (s *Set) hasNewerVersion(state *keyState, r Record) bool {
+	return !r.Deleted && state.version != 0 && s.check(r.Key, r.Value) == nil && s.versionOf(r.Key, r.Value) > state.version
+}
+
+// advance updates the key to a record whose revision or version is greater than that in force.
+func (s *Set) advance(state *keyState, r Record) MergeResult {
+	var version Version
 	if !r.Deleted {
-		if err := check(r.Key, r.Value); err != nil {
-			if r.Revision <= state.noted.Revision {
-				return Stale
-			}
-			state.noted = r
-			state.invalid = err.Error()
-			return MergedInvalid
+		if err := s.check(r.Key, r.Value); err != nil {
+			return state.note(r, err.Error(), false)
+		}
+		version = s.versionOf(r.Key, r.Value)
+		if version < state.version {
+			return state.note(r, outdatedReason, true)
 		}
 	}
-	state.inForce = r
+	state.inForce, state.version = r, max(state.version, version)
 	if r.Revision >= state.noted.Revision {
-		state.noted = r
-		state.invalid = ""
+		state.noted, state.invalid, state.outdated = r, "", false
+	} else if state.invalid == "" {
+		state.invalid, state.outdated = outdatedReason, true
 	}
 	return Merged
 }
 
+// outdatedReason is the reason why a newer record with a smaller version is not in force.
+const outdatedReason = "it is an older version than the one in force"
+
+// note keeps a record that doesn't come into force.
+func (state *keyState) note(r Record, reason string, outdated bool) MergeResult {
+	if r.Revision <= state.noted.Revision {
+		return Stale
+	}
+	state.noted, state.invalid, state.outdated = r, reason, outdated
+	return MergedInvalid
+}
+
+// UpToDate returns the revision of the newest record of a key if nothing newer than the value
+// in force is known, zero otherwise.
+func (s *Set) UpToDate(key string) dfuident.Revision {
+	state, ok := s.keyState[key]
+	if !ok || state.invalid != "" && !state.outdated {
+		return 0
+	}
+	return state.noted.Revision
+}
+
+// ContradictedBy reports whether a record that the store returned shows that its revisions have
+// become smaller since it had the one in force: the record has a newer version or another value at a
+// revision that isn't greater, or is older although it was listed as of a later revision.
+func (s *Set) ContradictedBy(r Record, listed bool, asOf dfuident.Revision) bool {
+	state, ok := s.keyState[r.Key]
+	if !ok || r.Revision.Era() != state.noted.Revision.Era() {
+		return false
+	}
+	if listed && r.Revision < state.noted.Revision && asOf >= state.noted.Revision {
+		return true
+	}
+	held := state.inForce
+	if r.Revision == state.noted.Revision {
+		held = state.noted
+	}
+	switch {
+	case r.Revision > held.Revision:
+		return false
+	case r.Revision == held.Revision:
+		return r.Deleted != held.Deleted || !bytes.Equal(r.Value, held.Value)
+	default:
+		return s.hasNewerVersion(state, r)
+	}
+}
+
 // addToTotals adds the key's share to the bucket digest and to the counts that
 // the limits bound. With sign -1 it subtracts the share.
 func (s *Set) addToTotals(key string, state *keyState, sign int) {
@@ -250,7 +314,7 @@
 }
 
 func (state *keyState) summary(key string) Summary {
-	return Summary{Key: key, Noted: state.noted.Revision, InForce: state.inForce.Revision}
+	return Summary{Key: key, Noted: state.noted.Revision, InForce: state.inForce.Revision, Version: state.version}
 }
 
 // keys returns the keys with a prefix, sorted.
--- a/core/version/dfuroster/keeper.go
+++ b/core/version/dfuroster/keeper.go
@@ -50,8 +50,17 @@
 	change         Change
 	// peersStale is set if the exchange's peers may have changed.
 	peersStale bool
-	now        dfuclock.Time
-	actions    []Action
+	// parsed is the route table that was parsed last.
+	parsed  parsedRoutes
+	now     dfuclock.Time
+	actions []Action
+}
+
+// parsedRoutes is the result of parsing the value of a route table.
+type parsedRoutes struct {
+	value []byte
+	table *dfuroute.Table
+	err   error
 }
 
 // NewKeeper returns the keeper of a node whose view contains only the node
@@ -68,7 +77,7 @@
 	}
 	k.exchange = dfurecord.NewExchange(
 		dfurecord.Peer{Node: self.Member.Node, Region: self.Place.Region, Address: self.Peer},
-		dfurecord.New(cfg.Limits, k.checkValue), cfg.Exchange, rng,
+		dfurecord.New(cfg.Limits, k.checkValue, k.versionOf), cfg.Exchange, rng,
 	)
 	k.applyUpdate(k.membership.Self())
 	k.view = k.view.Apply(k.change)
@@ -223,6 +232,8 @@
 			}
 		case dfurecord.Read:
 			k.emit(ReadStore{})
+		case dfurecord.StoreRestored:
+			k.emit(StoreRestored{Revision: a.Revision})
 		}
 	}
 }
@@ -357,9 +368,13 @@
 	if !ok {
 		return
 	}
-	if table, err := dfuroute.ParseReadable(r.Value); err == nil {
+	if current := k.view.Routes(); current != nil && current.Revision == r.Revision {
+		return
+	}
+	if parsed, err := k.parseRoutes(r.Value); err == nil {
+		table := *parsed
 		table.Revision, table.InForceSince = r.Revision, k.now
-		k.change.Routes = table
+		k.change.Routes = &table
 	}
 }
 
@@ -397,7 +412,7 @@
 // do not come into force.
 func (k *Keeper) checkValue(key string, value []byte) error {
 	if key == k.cfg.RoutesKey {
-		_, err := dfuroute.ParseReadable(value)
+		_, err := k.parseRoutes(value)
 		return err
 	}
 	if !strings.HasPrefix(key, k.cfg.CataloguePrefix) {
@@ -407,6 +422,32 @@
 	return err
 }
 
+// versionOf returns the version of a route table, and zero for any other key.
+func (k *Keeper) versionOf(key string, value []byte) dfurecord.Version {
+	if key != k.cfg.RoutesKey {
+		return 0
+	}
+	table, err := k.parseRoutes(value)
+	if err != nil {
+		return 0
+	}
+	return dfurecord.Version(table.Version)
+}
+
+// parseRoutes parses a route table. It keeps the result, since a value is checked before it
+// comes into force.
+func (k *Keeper) parseRoutes(value []byte) (*dfuroute.Table, error) {
+	if p := &k.parsed; p.value == nil || !isSameSlice(p.value, value) {
+		p.value = value
+		p.table, p.err = dfuroute.ParseReadable(value)
+	}
+	return k.parsed.table, k.parsed.err
+}
+
+func isSameSlice(a, b []byte) bool {
+	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
+}
+
 func (k *Keeper) emit(a Action) {
 	k.actions = append(k.actions, a)
 }
--- a/core/version/dfuroster/message.go
+++ b/core/version/dfuroster/message.go
@@ -75,6 +75,10 @@
 // ReadStore requests a full list of each prefix from the store.
 type ReadStore struct{}
 
+// StoreRestored reports that a response of the store with a revision contradicts the records
+// held, so that the revisions of the store have become smaller.
+type StoreRestored struct{ Revision dfuident.Revision }
+
 // RegionStatusChanged reports whether another region is reachable.
 type RegionStatusChanged struct{ Status dfumembership.RegionStatus }
 
@@ -84,5 +88,6 @@
 func (Send) action()                {}
 func (Publish) action()             {}
 func (ReadStore) action()           {}
+func (StoreRestored) action()       {}
 func (RegionStatusChanged) action() {}
 func (Superseded) action()          {}
--- a/io/process/dfucontrol/config.go
+++ b/io/process/dfucontrol/config.go
@@ -14,16 +14,14 @@
 	"go.uber.org/zap"
 )
 
-// Store is the part of the platform's key-value service that a Controller uses.
-// See dfustore.Store for the semantics of the methods.
+// Store is the part of the platform's key-value service that a Controller uses, with revisions
+// that never become smaller. See dfustore.Store and dfustore.Numbered for the semantics of the
+// methods.
 type Store interface {
-	Get(ctx context.Context, key string) (dfustore.Record, error)
-	List(ctx context.Context, prefix string) ([]dfustore.Record, dfuident.Revision, error)
-	ListStale(ctx context.Context, prefix string) ([]dfustore.Record, dfuident.Revision, error)
-	Ping(ctx context.Context, prefix string) ([]dfustore.Record, dfuident.Revision, error)
-	Received() uint64
-	Watch(ctx context.Context, prefix string, after dfuident.Revision, wait dfuclock.Duration) ([]dfustore.Record, dfuident.Revision, error)
-	CompareAndSwap(ctx context.Context, key string, expect dfuident.Revision, value []byte, lease dfustore.LeaseID) (dfuident.Revision, error)
+	dfustore.Versioned
+	Observe(revision dfuident.Revision)
+	Restored(revision dfuident.Revision)
+	Era() dfuident.Era
 }
 
 // PeerClient makes net/rpc calls to other nodes.
--- a/io/process/dfucontrol/controller_test.go
+++ b/io/process/dfucontrol/controller_test.go
@@ -382,15 +382,22 @@
 	proofBound dfuclock.Duration
 	bootClocks map[dfuident.NodeID]*jumpingClock
 	// wrapStore wraps the access of each node to the store; nil for none.
-	wrapStore func(*nodeStore) dfucontrol.Store
+	wrapStore func(*nodeStore) dfustore.Versioned
 	// regions is the number of regions with two zones each; zero means one.
 	regions int
+	// number wraps the access of node vm-i, after wrapStore.
+	number func(i int, s dfustore.Versioned) dfucontrol.Store
 	// operated is set if the nodes replicate the routes and evacuations.
 	operated bool
 }
 
 func newFleet(t *testing.T) *fleet {
-	return &fleet{t: t, store: newFakeStore(), access: make(map[dfuident.NodeID]*nodeStore), net: &network{nodes: make(map[dfuident.Address]*dfucontrol.Controller)}}
+	number := func(_ int, s dfustore.Versioned) dfucontrol.Store { return numbered(s) }
+	return &fleet{t: t, store: newFakeStore(), number: number, access: make(map[dfuident.NodeID]*nodeStore), net: &network{nodes: make(map[dfuident.Address]*dfucontrol.Controller)}}
+}
+
+func numbered(s dfustore.Versioned) *dfustore.Numbered {
+	return dfustore.NewNumbered(s, dfustore.NumberedDeps{Clock: dfuclock.New(), Log: zap.NewNop()})
 }
 
 // start runs the controller of node vm-i and returns it with a function that
@@ -443,6 +450,7 @@
 		cfg.Prefixes = []string{dfustore.RoutesKey, dfustore.CataloguePrefix}
 	}
 	if f.operated {
+		cfg.ProofBound = f.proofBound
 		cfg.Prefixes = []string{dfustore.OperatorPrefix, dfustore.CataloguePrefix}
 		cfg.Evacuations = true
 	}
@@ -456,12 +464,12 @@
 	}
 	access := &nodeStore{fakeStore: f.store}
 	f.access[cfg.Node] = access
-	var store dfucontrol.Store = access
+	var store dfustore.Versioned = access
 	if f.wrapStore != nil {
 		store = f.wrapStore(access)
 	}
 	c := dfucontrol.New(cfg, dfucontrol.Deps{
-		Store: store, PeerClient: f.net, Clock: dfuclock.New(), BootClock: bootClock, Wall: wall,
+		Store: f.number(i, store), PeerClient: f.net, Clock: dfuclock.New(), BootClock: bootClock, Wall: wall,
 		Rand: rand.New(rand.NewPCG(1, uint64(i))), Log: zap.NewNop(),
 	})
 	c.Announce(dfucontrol.Announcement{Target: dfumembership.Target{Service: "lager", Slots: 12}})
@@ -774,7 +782,7 @@
 	const n = 16
 	f := newFleet(t)
 	f.watchWait, f.regions = longWatchWait, 2
-	f.wrapStore = func(s *nodeStore) dfucontrol.Store { return &unwritableStore{s} }
+	f.wrapStore = func(s *nodeStore) dfustore.Versioned { return &unwritableStore{s} }
 	f.listOnPages(n)
 	var controllers []*dfucontrol.Controller
 	for i := range n {
--- a/io/process/dfucontrol/lost_watch_test.go
+++ b/io/process/dfucontrol/lost_watch_test.go
@@ -54,7 +54,7 @@
 			t.Parallel()
 			f := newFleet(t)
 			f.watchWait = longWatchWait
-			f.wrapStore = func(s *nodeStore) dfucontrol.Store { return &lossyWatches{nodeStore: s, share: share} }
+			f.wrapStore = func(s *nodeStore) dfustore.Versioned { return &lossyWatches{nodeStore: s, share: share} }
 			var controllers []*dfucontrol.Controller
 			for i := range 16 {
 				c, _ := f.start(i)
@@ -157,7 +157,7 @@
 	is := is.New(t)
 	f := newFleet(t)
 	f.watchWait = longWatchWait
-	f.wrapStore = func(s *nodeStore) dfucontrol.Store { return &refusedChecks{s} }
+	f.wrapStore = func(s *nodeStore) dfustore.Versioned { return &refusedChecks{s} }
 	c, _ := f.start(0)
 	f.wait("the node watches", func() bool { return c.Status().Watcher })
 	time.Sleep(2 * time.Second)
--- a/io/process/dfucontrol/owner.go
+++ b/io/process/dfucontrol/owner.go
@@ -138,6 +138,8 @@
 			l.publish(a.View)
 		case dfuroster.ReadStore:
 			l.control.requestRead()
+		case dfuroster.StoreRestored:
+			l.control.deps.Store.Restored(a.Revision)
 		case dfuroster.RegionStatusChanged:
 			l.control.deps.Log.Info("region reachability changed", zap.String("region", string(a.Status.Observed)),
 				zap.Bool("unreachable", a.Status.Unreachable))
@@ -150,12 +152,26 @@
 			}
 		}
 	}
+	l.observeRevisions(event)
 	l.noteRoutes(before, event)
 	if answer != nil {
 		answer <- reply
 	}
 }
 
+// observeRevisions passes the greatest revision that a peer provided to the client of the store.
+func (l *eventLoop) observeRevisions(event dfuroster.Event) {
+	e, ok := event.(dfuroster.Received)
+	if !ok || e.Packet.Records == nil {
+		return
+	}
+	var greatest dfuident.Revision
+	for _, r := range e.Packet.Records.Records {
+		greatest = max(greatest, r.Revision)
+	}
+	l.control.deps.Store.Observe(greatest)
+}
+
 // noteDropped logs and counts the records of a response that are older than those held. They
 // are dropped.
 func (l *eventLoop) noteDropped(answer dfurecord.StoreResponse) {
--- a/io/process/dfucontrol/proof.go
+++ b/io/process/dfucontrol/proof.go
@@ -58,8 +58,8 @@
 type routesProof struct {
 	mu    sync.Mutex
 	proof dfuproof.Proof
-	// held is the revision of the table in force, or zero if a newer value is known that
-	// can't be read. version is the table's version.
+	// held is the revision as of which the table in force is up to date, or zero if a newer
+	// value is known that can't be read. version is the table's version.
 	held    dfuident.Revision
 	version dfuroute.Version
 	// renewed is closed and replaced when the proof becomes newer.
@@ -132,11 +132,7 @@
 	if routes == nil {
 		return
 	}
-	revisions := l.keeper.Exchange().Set().Revisions(dfustore.RoutesKey)
-	held := revisions.InForce
-	if revisions.Noted > held {
-		held = 0
-	}
+	held := l.keeper.Exchange().Set().UpToDate(dfustore.RoutesKey)
 	l.control.proof.update(held, routes.Version, answer)
 }
 
--- a/io/process/dfucontrol/proof_test.go
+++ b/io/process/dfucontrol/proof_test.go
@@ -35,7 +35,7 @@
 const testProofBound = 5000 * dfuclock.Millisecond
 
 // startProving starts a fleet of nodes with a route table, and waits until all prove it.
-func startProving(t *testing.T, nodes int, wrap func(*nodeStore) dfucontrol.Store) (*fleet, []*dfucontrol.Controller) {
+func startProving(t *testing.T, nodes int, wrap func(*nodeStore) dfustore.Versioned) (*fleet, []*dfucontrol.Controller) {
 	t.Helper()
 	f := newFleet(t)
 	f.watchWait = longWatchWait
@@ -182,7 +182,7 @@
 	t.Parallel()
 	is := is.New(t)
 	frozen := &frozenAnswers{}
-	f, controllers := startProving(t, 2, func(s *nodeStore) dfucontrol.Store { return &staleStore{nodeStore: s, frozen: frozen} })
+	f, controllers := startProving(t, 2, func(s *nodeStore) dfustore.Versioned { return &staleStore{nodeStore: s, frozen: frozen} })
 	records, revision, err := f.store.List(context.Background(), dfustore.RoutesKey)
 	is.NoErr(err)
 	f.store.put(dfustore.RoutesKey, []byte(`{"version": 2}`))
@@ -212,7 +212,7 @@
 // Lost answers of the store leave no node without a proof.
 func TestLostAnswersDelayNoProof(t *testing.T) {
 	t.Parallel()
-	_, controllers := startProving(t, 8, func(s *nodeStore) dfucontrol.Store { return &lossyChecks{s} })
+	_, controllers := startProving(t, 8, func(s *nodeStore) dfustore.Versioned { return &lossyChecks{s} })
 	alwaysProving(t, controllers, 4*testProofBound.Std())
 }
 
@@ -236,7 +236,7 @@
 	f := newFleet(t)
 	f.watchWait = longWatchWait
 	f.proofBound, f.bootClocks = dfuclock.Hour, map[dfuident.NodeID]*jumpingClock{}
-	f.wrapStore = func(s *nodeStore) dfucontrol.Store { return &uncheckedStore{s} }
+	f.wrapStore = func(s *nodeStore) dfustore.Versioned { return &uncheckedStore{s} }
 	f.store.put(dfustore.RoutesKey, []byte(`{"version": 1}`))
 	f.listOnPages(nodes)
 	var controllers []*dfucontrol.Controller
--- a/io/process/dfucontrol/restored_store_test.go
+++ b/io/process/dfucontrol/restored_store_test.go
@@ -1,11 +1,13 @@
 package dfucontrol_test
 
 import (
+	"context"
 	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/version/dfuroute"
 	"dragonflyusher/io/process/dfucontrol"
@@ -45,17 +47,23 @@
 	f.store.put(dfustore.RoutesKey, fmt.Appendf(nil, `{"version": %d}`, version))
 }
 
-// startOperated starts 16 nodes in four zones that replicate the routes. Stale reads lag.
-func startOperated(t *testing.T, lag time.Duration) (*fleet, []*dfucontrol.Controller) {
-	t.Helper()
+// newOperatedFleet returns a fleet that replicates the routes, in four zones. Stale reads lag.
+func newOperatedFleet(t *testing.T, lag time.Duration) *fleet {
 	f := newFleet(t)
 	f.watchWait = longWatchWait
 	f.regions = 2
 	f.operated = true
 	stale := new(atomic.Int64)
 	stale.Store(int64(lag))
-	f.wrapStore = func(s *nodeStore) dfucontrol.Store { return &replica{&lossyWatches{nodeStore: s}, stale} }
+	f.wrapStore = func(s *nodeStore) dfustore.Versioned { return &replica{&lossyWatches{nodeStore: s}, stale} }
 	f.putRoutes(1)
+	return f
+}
+
+// startOperated starts 16 nodes of such a fleet.
+func startOperated(t *testing.T, lag time.Duration) (*fleet, []*dfucontrol.Controller) {
+	t.Helper()
+	f := newOperatedFleet(t, lag)
 	return f, f.startNodes(16, 8)
 }
 
@@ -75,19 +83,26 @@
 				t.Parallel()
 				f, controllers := startOperated(t, c.lag)
 				time.Sleep(2 * time.Second)
-				const before, after = 24, 20
-				for version := 2; version <= before; version++ {
-					f.putRoutes(version)
-					time.Sleep(250 * time.Millisecond)
-				}
+				f.putVersions(restoredVersion)
 				f.restore(restoration, c.outage)
-				checkRoutesInTime(f, controllers, before, after)
+				checkRoutesInTime(f, controllers, restoredVersion, 20)
 				checkNoRestarts(t, controllers)
 			})
 		}
 	}
 }
 
+// restoredVersion is the version of the routes at which a store is restored.
+const restoredVersion = 24
+
+// putVersions writes the versions of the routes from 2 to last, four a second.
+func (f *fleet) putVersions(last int) {
+	for version := 2; version <= last; version++ {
+		f.putRoutes(version)
+		time.Sleep(250 * time.Millisecond)
+	}
+}
+
 // checkRoutesInTime writes versions of the routes after a given one, right after a disturbance of the
 // store, and checks that each is in force at all nodes in time and that none goes back.
 func checkRoutesInTime(f *fleet, controllers []*dfucontrol.Controller, before, changes int) {
@@ -201,3 +216,107 @@
 		}
 	}
 }
+
+// unawareStore never notices that the store was restored, as a node of an earlier version.
+type unawareStore struct{ dfustore.Versioned }
+
+func (unawareStore) Observe(dfuident.Revision)  {}
+func (unawareStore) Restored(dfuident.Revision) {}
+func (unawareStore) Era() dfuident.Era          { return 0 }
+
+// While nodes of an earlier version are replaced, only some notice that the store was restored. The
+// others must have the changes from these. Load: 16 nodes, of which every other one notices.
+func TestNodesThatDontNoticeARestorationHearFromOthers(t *testing.T) {
+	for name, restoration := range restorations {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newOperatedFleet(t, 0)
+			f.number = func(i int, s dfustore.Versioned) dfucontrol.Store {
+				if i%4 < 2 {
+					return unawareStore{s}
+				}
+				return numbered(s)
+			}
+			controllers := f.startNodes(16, 8)
+			time.Sleep(2 * time.Second)
+			f.putVersions(restoredVersion)
+			f.restore(restoration, time.Second)
+			checkRoutesInTime(f, controllers, restoredVersion, 20)
+		})
+	}
+}
+
+// laggingLists serves lists from what the store held some time ago, besides stale reads.
+type laggingLists struct{ *replica }
+
+func (s *laggingLists) List(ctx context.Context, prefix string) ([]dfustore.Record, dfuident.Revision, error) {
+	return s.ListStale(ctx, prefix)
+}
+
+// A list that lags must neither take a table back nor make the nodes assume one restoration after the
+// other. Load: 16 nodes, half of the answers of watches are lost, so that nodes list often.
+func TestListsThatLagTakeNothingBack(t *testing.T) {
+	for _, lag := range []time.Duration{time.Second, 6 * time.Second} {
+		t.Run(lag.String(), func(t *testing.T) {
+			t.Parallel()
+			f := newOperatedFleet(t, 0)
+			stale := new(atomic.Int64)
+			var eras []dfucontrol.Store
+			f.wrapStore = func(s *nodeStore) dfustore.Versioned {
+				return &laggingLists{&replica{&lossyWatches{nodeStore: s, share: 0.5}, stale}}
+			}
+			f.number = func(_ int, s dfustore.Versioned) dfucontrol.Store {
+				eras = append(eras, numbered(s))
+				return eras[len(eras)-1]
+			}
+			controllers := f.startNodes(16, 8)
+			time.Sleep(2 * time.Second)
+			stale.Store(int64(lag))
+			checkRoutesInTime(f, controllers, 1, 40)
+			for i, s := range eras {
+				t.Logf("vm-%d: era %d, %d restarts", i, s.Era(), controllers[i].Status().MissedAnswers)
+				if s.Era() > 1 {
+					t.Errorf("vm-%d assumes %d restorations within 20 s", i, s.Era())
+				}
+			}
+		})
+	}
+}
+
+// A node must not prove an older table than the store had acknowledged a while before, also while the
+// store is restored, and must prove the current one soon. Load: 16 nodes, a change each 0.5 s.
+func TestNoOlderTableIsProvenAfterTheStoreIsRestored(t *testing.T) {
+	const bound = 5 * time.Second
+	for name, restoration := range restorations {
+		for _, outage := range []time.Duration{0, time.Second} {
+			t.Run(fmt.Sprintf("%s, away for %v", name, outage), func(t *testing.T) {
+				t.Parallel()
+				f := newOperatedFleet(t, 3*time.Second)
+				f.proofBound = dfuclock.Duration(bound.Milliseconds())
+				f.bootClocks = make(map[dfuident.NodeID]*jumpingClock)
+				controllers := f.startNodes(16, 8)
+				f.wait("every node proves the routes", func() bool { return proving(controllers) == len(controllers) })
+				f.putVersions(restoredVersion)
+				f.restore(restoration, outage)
+				var written []time.Time
+				for began := time.Now(); time.Since(began) < 20*time.Second; time.Sleep(10 * time.Millisecond) {
+					if time.Since(began) > time.Duration(len(written))*500*time.Millisecond && len(written) < 24 {
+						f.putRoutes(restoredVersion + 1 + len(written))
+						written = append(written, time.Now())
+					}
+					for i, c := range controllers {
+						version := int(c.View().Routes().Version)
+						next := version - restoredVersion
+						isOlder := next >= 0 && next < len(written) && time.Since(written[next]) > bound
+						if isOlder && c.RoutesProven(dfuroute.Version(version)) {
+							t.Fatalf("vm-%d proves version %d, %v after the next one", i, version, time.Since(written[next]))
+						}
+					}
+				}
+				if n := proving(controllers); n != len(controllers) {
+					t.Errorf("%d of %d nodes prove the routes", n, len(controllers))
+				}
+			})
+		}
+	}
+}
--- a/io/process/dfucontrol/return_test.go
+++ b/io/process/dfucontrol/return_test.go
@@ -161,7 +161,7 @@
 	f := newFleet(t)
 	f.watchWait = longWatchWait
 	stores := make(map[dfuident.NodeID]*timedPings)
-	f.wrapStore = func(s *nodeStore) dfucontrol.Store {
+	f.wrapStore = func(s *nodeStore) dfustore.Versioned {
 		p := &timedPings{nodeStore: s}
 		stores[dfuident.NodeID(fmt.Sprintf("vm-%d", len(stores)))] = p
 		return p
--- a/io/process/dfucontrol/stale_read_test.go
+++ b/io/process/dfucontrol/stale_read_test.go
@@ -57,7 +57,7 @@
 			f.regions = 2
 			lag := new(atomic.Int64)
 			lag.Store(int64(6 * time.Second))
-			f.wrapStore = func(s *nodeStore) dfucontrol.Store {
+			f.wrapStore = func(s *nodeStore) dfustore.Versioned {
 				return &replica{&lossyWatches{nodeStore: s, share: share}, lag}
 			}
 			controllers := f.startNodes(16, 8)
@@ -75,7 +75,7 @@
 	f.watchWait = longWatchWait
 	const nodes = 4
 	lag := new(atomic.Int64)
-	f.wrapStore = func(s *nodeStore) dfucontrol.Store {
+	f.wrapStore = func(s *nodeStore) dfustore.Versioned {
 		w := &lossyWatches{nodeStore: s}
 		if len(f.access) == 1 {
 			w.share = 1
@@ -102,7 +102,7 @@
 			f.watchWait = longWatchWait
 			f.regions = 2
 			stale := new(atomic.Int64)
-			f.wrapStore = func(s *nodeStore) dfucontrol.Store {
+			f.wrapStore = func(s *nodeStore) dfustore.Versioned {
 				return &replica{&lossyWatches{nodeStore: s, share: 1}, stale}
 			}
 			controllers := f.startNodes(16, 8)
@@ -139,7 +139,7 @@
 func TestOtherAnswersDontHideADeafWatch(t *testing.T) {
 	f := newFleet(t)
 	f.watchWait = longWatchWait
-	f.wrapStore = func(s *nodeStore) dfucontrol.Store { return &deafWatches{&lossyWatches{nodeStore: s, share: 1}} }
+	f.wrapStore = func(s *nodeStore) dfustore.Versioned { return &deafWatches{&lossyWatches{nodeStore: s, share: 1}} }
 	controllers := f.startNodes(8, 4)
 	time.Sleep(3 * time.Second)
 	for change := range 3 {
--- a/io/process/dfucontrol/status.go
+++ b/io/process/dfucontrol/status.go
@@ -18,7 +18,10 @@
 	HasCatalogue bool `json:"has_catalogue"`
 	// CatalogueRevision is the highest revision of any entry received so far.
 	CatalogueRevision dfuident.Revision `json:"catalogue_revision"`
-	ViewVersion       uint64            `json:"view_version"`
+	// StoreEra counts how often the revisions of the store are known to have become smaller. The
+	// revisions of the status are those of the store.
+	StoreEra    dfuident.Era `json:"store_era,omitempty"`
+	ViewVersion uint64       `json:"view_version"`
 	// Invalid lists the entries whose newest value is invalid and therefore not
 	// in force.
 	Invalid []dfurecord.Invalid `json:"invalid,omitempty"`
@@ -100,6 +103,9 @@
 	}
 	invalid := exchange.Set().Invalid()
 	l.reportInvalid(invalid)
+	for i := range invalid {
+		invalid[i].Revision, invalid[i].InForce = invalid[i].Revision.InStore(), invalid[i].InForce.InStore()
+	}
 	var unreadable []dfufinding.Finding
 	if routes := l.keeper.View().Routes(); routes != nil {
 		unreadable = routes.Unreadable
@@ -110,7 +116,8 @@
 		Dropped:           l.dropped,
 		Member:            l.keeper.Membership().Self().Member,
 		HasCatalogue:      exchange.Synced(),
-		CatalogueRevision: exchange.Set().GreatestRevision(dfustore.CataloguePrefix),
+		CatalogueRevision: exchange.Set().GreatestRevision(dfustore.CataloguePrefix).InStore(),
+		StoreEra:          l.control.deps.Store.Era(),
 		ViewVersion:       l.keeper.View().Version(),
 		Invalid:           invalid,
 		Confirmed:         standing.Confirmed,
--- a/io/process/dfunode/admin.go
+++ b/io/process/dfunode/admin.go
@@ -171,7 +171,7 @@
 	}
 	for _, service := range view.Services() {
 		_, revision, _ := view.Entry(service)
-		status.View.Entries[service] = revision
+		status.View.Entries[service] = revision.InStore()
 	}
 	status.Workspaces = describeWorkspaces(view.Routes())
 	for _, peer := range view.Nodes() {
--- a/io/process/dfunode/metrics.go
+++ b/io/process/dfunode/metrics.go
@@ -86,6 +86,7 @@
 	}
 	set(metrics.GetOrRegisterGauge("control.routes_unreadable", n.metrics), int64(len(status.Unreadable)))
 	set(metrics.GetOrRegisterGauge("control.records_rejected", n.metrics), int64(status.Rejected))
+	set(metrics.GetOrRegisterGauge("control.store_era", n.metrics), int64(status.StoreEra))
 	set(metrics.GetOrRegisterGauge("control.records_dropped", n.metrics), int64(status.Dropped))
 	set(metrics.GetOrRegisterGauge("control.zones_evacuated", n.metrics), n.zonesEvacuated())
 	for state, count := range status.States {
--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -66,20 +66,22 @@
 type Node struct {
 	// settings holds the settings at the start. latest holds the newest valid
 	// settings, for those that can change while the node runs.
-	settings       dfusettings.Settings
-	latest         atomic.Pointer[dfusettings.Settings]
-	log            *zap.Logger
-	logOutput      *dfulog.Log
-	clock          dfuclock.Clock
-	metrics        metrics.Registry
-	histograms     *dfuhistogram.Set
-	tracer         *dfutrace.Tracer
-	httpListener   net.Listener
-	peerListener   net.Listener
-	bodies         *dfubody.Memory
-	pool           *dfupeer.Pool
-	server         *dfupeer.Server
-	store          dfustore.Store
+	settings     dfusettings.Settings
+	latest       atomic.Pointer[dfusettings.Settings]
+	log          *zap.Logger
+	logOutput    *dfulog.Log
+	clock        dfuclock.Clock
+	metrics      metrics.Registry
+	histograms   *dfuhistogram.Set
+	tracer       *dfutrace.Tracer
+	httpListener net.Listener
+	peerListener net.Listener
+	bodies       *dfubody.Memory
+	pool         *dfupeer.Pool
+	server       *dfupeer.Server
+	store        dfustore.Store
+	// numbered is store with revisions that never become smaller.
+	numbered       *dfustore.Numbered
 	adapters       Adapters
 	adminServers   []*dfuserver.Server
 	adminListeners []net.Listener
@@ -137,6 +139,7 @@
 		Total: settings.Limits.BodiesBytes(), Answers: settings.Limits.LargeAnswersBytes(), LinkMbps: settings.Limits.LinkMbps,
 	}, n.clock, n.metrics)
 	n.store = adapters.Store(n.countStoreCall)
+	n.numbered = dfustore.NewNumbered(n.store, dfustore.NumberedDeps{Clock: n.clock, Log: n.log, NewEra: n.forgetRevisions})
 	if err := n.listen(ctx); err != nil {
 		return nil, err
 	}
@@ -335,7 +338,7 @@
 	cfg.HTTP = cmp.Or(n.settings.Advertise.HTTP, callers)
 	cfg.Peer = cmp.Or(n.settings.Advertise.Peer, peers)
 	return dfucontrol.New(cfg, dfucontrol.Deps{
-		Store:      n.store,
+		Store:      n.numbered,
 		PeerClient: controlCaller{n.pool},
 		Clock:      n.clock,
 		BootClock:  dfuclock.Boot{},
@@ -549,6 +552,20 @@
 	}
 }
 
+// revisionChecker is implemented by store clients that compare the revisions of answers with
+// earlier ones.
+type revisionChecker interface {
+	// ForgetRevisions makes the client accept revisions that are smaller than earlier ones.
+	ForgetRevisions()
+}
+
+// forgetRevisions prepares the client of the store for smaller revisions.
+func (n *Node) forgetRevisions() {
+	if c, ok := n.store.(revisionChecker); ok {
+		c.ForgetRevisions()
+	}
+}
+
 // countStoreCall counts a call to the store by its kind and result.
 func (n *Node) countStoreCall(call, result string) {
 	metrics.GetOrRegisterCounter("store."+call+"."+result, n.metrics).Inc(1)
@@ -596,7 +613,7 @@
 		Log:        n.log,
 		Metrics:    n.metrics,
 		PeerClient: controlCaller{n.pool},
-		Store:      n.store,
+		Store:      n.numbered,
 		Rand:       newRand(),
 	})
 }
--- a/io/process/dfustore/store.go
+++ b/io/process/dfustore/store.go
@@ -29,7 +29,8 @@
 	// Watch waits, for at most wait, until a record whose key has the prefix has
 	// a revision above after. It returns all such records including deletes,
 	// ordered by revision, and the revision to pass as after in the next call. On
-	// timeout it returns that revision without records.
+	// timeout it returns that revision without records. The revision is zero if the answer
+	// has none, and below after if the store has been restored from an older copy.
 	Watch(ctx context.Context, prefix string, after dfuident.Revision, wait dfuclock.Duration) ([]Record, dfuident.Revision, error)
 	// CompareAndSwap writes a key if its revision is the expected one and
 	// returns the new revision. An expected revision of zero means that the key
