platform: restore the store in the soak

The stand-in of the store counted on whatever happened, so that no soak could play a store whose revisions become smaller. It can now be copied and restored, from an older copy or with revisions counted anew, with watches that are cut or go on.

--- a/standin/dfustorestandin/backend.go
+++ b/standin/dfustorestandin/backend.go
@@ -25,13 +25,17 @@
 func (s *Server) Watch(prefix string, after dfuident.Revision, wait dfuclock.Duration) ([]dfuplatform.Item, dfuident.Revision, bool) {
 	timeout := time.NewTimer(wait.Std())
 	defer timeout.Stop()
+	cuts := s.state.cutCount()
 	for done := false; ; {
+		if s.state.cutCount() != cuts {
+			return nil, 0, false
+		}
 		events, asOf, complete, changed := s.state.changesSince(prefix, after)
 		if !complete {
 			return nil, asOf, false
 		}
 		if len(events) > 0 || done {
-			return events, max(asOf, after), true
+			return events, asOf, true
 		}
 		select {
 		case <-changed:
--- a/standin/dfustorestandin/server.go
+++ b/standin/dfustorestandin/server.go
@@ -74,6 +74,25 @@
 	return s.state.deleteUnconditional(key)
 }
 
+// Copy is the content of the store at a time.
+type Copy struct{ content snapshot }
+
+// Copy returns a copy of the content.
+func (s *Server) Copy() Copy {
+	return Copy{s.state.copy()}
+}
+
+// CountAnew returns the copy with revisions that are counted from 1.
+func (c Copy) CountAnew() Copy {
+	return Copy{c.content.countAnew()}
+}
+
+// Restore replaces the content by a copy, so that the revisions may become smaller. Watches that
+// wait are cut if cut is set, otherwise they go on.
+func (s *Server) Restore(c Copy, cut bool) {
+	s.state.restore(c.content, cut)
+}
+
 // Close ends all calls, stops the timers of the leases and shuts the server down.
 func (s *Server) Close() error {
 	close(s.stop)
--- a/standin/dfustorestandin/state.go
+++ b/standin/dfustorestandin/state.go
@@ -51,6 +51,8 @@
 	lastLeaseID dfustore.LeaseID
 	// changed is closed and replaced when readers may see a change.
 	changed chan struct{}
+	// cuts counts the restorations that cut waiting watches.
+	cuts int
 }
 
 func newState() *state {
@@ -282,6 +284,50 @@
 	s.notify()
 }
 
+// copy returns a copy of the content.
+func (s *state) copy() snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	copied := s.current
+	copied.items = maps.Clone(copied.items)
+	copied.history = slices.Clone(copied.history)
+	return copied
+}
+
+// restore replaces the content. Watches that wait are cut, or go on from where they are.
+func (s *state) restore(content snapshot, cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.current = content
+	s.current.items = maps.Clone(content.items)
+	s.current.history = slices.Clone(content.history)
+	if cut {
+		s.cuts++
+	}
+	s.notify()
+}
+
+// countAnew returns the content with revisions from 1, in the order of the latest changes,
+// without history.
+func (s snapshot) countAnew() snapshot {
+	items := slices.SortedFunc(maps.Values(s.items), func(a, b dfuplatform.Item) int { return cmp.Compare(a.Revision, b.Revision) })
+	anew := snapshot{items: make(map[string]dfuplatform.Item)}
+	for _, item := range items {
+		anew.revision++
+		item.Revision, item.Created = anew.revision, anew.revision
+		anew.items[item.Key] = item
+	}
+	anew.compacted = anew.revision
+	return anew
+}
+
+// cutCount returns the number of restorations that have cut waiting watches.
+func (s *state) cutCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cuts
+}
+
 // compact discards the history.
 func (s *state) compact() {
 	s.mu.Lock()
