core/request/dfuclaim: keep the newer holders when the store is restored

A store that was restored from an older copy returns a claim table in which a former owner holds a shard again. Its records were handed over, so that it could grant a key that the present owner has granted: an attempt could run twice. Nodes now keep the entries of greater generation when the era of the revisions changes, and write them back with their next change. A table that was deleted and created again begins with small generations in the same era and is taken as before. Found by reading, while looking for the cause of late changes elsewhere; TestFormerOwnerOfARestoredTableGrantsNothing failed before.

--- a/core/request/dfuclaim/ownership.go
+++ b/core/request/dfuclaim/ownership.go
@@ -16,7 +16,11 @@
 		m.store.pending = nil
 	}
 	m.store.tableKnown = true
-	m.revision, m.table = revision, table.clone()
+	table = table.clone()
+	if revision.Era() != m.revision.Era() {
+		table.keepNewer(m.table)
+	}
+	m.revision, m.table = revision, table
 	if m.shards == nil {
 		m.shards = make([]*shard, len(table.Shards))
 		for i := range m.shards {
@@ -28,6 +32,17 @@
 	}
 }
 
+// keepNewer replaces the entries whose generation is smaller than in an earlier table by those of the
+// earlier one. The store was restored from an older copy: the owner of such an entry has
+// handed its records over, so that it must not grant again.
+func (t Table) keepNewer(earlier Table) {
+	for i := range min(len(t.Shards), len(earlier.Shards)) {
+		if t.Shards[i].Generation < earlier.Shards[i].Generation {
+			t.Shards[i] = earlier.Shards[i]
+		}
+	}
+}
+
 // applyEntry moves a shard to the generation of an entry. A new owner keeps its
 // records if they were complete. If they were not, the entry's floor is at or above
 // the creation time of every key granted before: a process writes only itself into
--- a/core/request/dfuclaim/write_result_test.go
+++ b/core/request/dfuclaim/write_result_test.go
@@ -93,3 +93,20 @@
 	}
 	is.True(statesLeaving(actions))
 }
+
+// A store that was restored from an older copy returns a table in which a former owner holds a shard
+// again. It has handed its records over, so that it must not grant a key that the present owner has
+// granted.
+func TestFormerOwnerOfARestoredTableGrantsNothing(t *testing.T) {
+	is := is.New(t)
+	self, next := dfuident.Member{Node: "a", Incarnation: 1}, dfuident.Member{Node: "b", Incarnation: 1}
+	m := dfuclaim.New(dfuclaim.DefaultConfig(), self, "s", rand.New(rand.NewPCG(1, 1)))
+	held := dfuclaim.Table{Shards: []dfuclaim.ShardEntry{{Owner: self, Generation: 1}, {Owner: self, Generation: 1}}}
+	handedOver := dfuclaim.Table{Shards: []dfuclaim.ShardEntry{{Owner: next, Generation: 2}, {Owner: self, Generation: 1}}}
+	m.Step(1, dfuclaim.TableRead{Revision: 5, Table: held})
+	m.Step(2, dfuclaim.TableRead{Revision: 6, Table: handedOver})
+	m.Step(3, dfuclaim.TableRead{Revision: dfuident.Era(1).Revision(5), Table: held})
+	table, revision := m.Table()
+	is.Equal(table, handedOver)
+	is.Equal(revision, dfuident.Era(1).Revision(5))
+}
