io/process/dfunode: keep writes of quotas within an era of the store

The records of quotas are replaced by compare-and-swap on the revision that was read. After the store was restored that revision may be given out again, to another owner's record, which the write would then replace: two owners would grant tokens of one shard. Writes now conflict if the era has changed since the read, as those of pages and claims do. Found by reading, not reproduced.

--- a/io/process/dfunode/quotas.go
+++ b/io/process/dfunode/quotas.go
@@ -7,6 +7,7 @@
 	"dragonflyusher/core/process/dfuident"
 	"dragonflyusher/core/request/dfuquota"
 	"dragonflyusher/io/process/dfusettings"
+	"dragonflyusher/io/process/dfustore"
 	"dragonflyusher/io/request/dfudispatch"
 	"dragonflyusher/io/request/dfuquotas"
 )
@@ -17,6 +18,17 @@
 	Era() (era uint64, ok bool)
 }
 
+// leasedStore is a Numbered with the calls for leases, which have no revisions.
+type leasedStore struct {
+	*dfustore.Numbered
+	leases
+}
+
+type leases interface {
+	GrantLease(ctx context.Context, ttl dfuclock.Duration) (dfustore.LeaseID, error)
+	KeepAlive(ctx context.Context, lease dfustore.LeaseID) error
+}
+
 // newQuotas returns the quotas of a run of the node, or nil if the settings have none.
 func (n *Node) newQuotas(ctx context.Context, self dfuident.Member) *dfuquotas.Quotas {
 	settings := n.settings.Quota
@@ -34,7 +46,7 @@
 		Log:        n.log,
 		Metrics:    n.metrics,
 		PeerClient: controlCaller{n.pool},
-		Store:      n.store,
+		Store:      leasedStore{n.numbered, n.store},
 		Era:        era,
 	})
 }
