io/process/dfustore: verify by a write that the store was restored

Before, an era also began when linearizable reads had stayed below a known revision for two seconds. The node now writes a record of its own after such an answer: a replica that lags can't answer that, and its revision decides.

--- a/io/process/dfucontrol/controller_test.go
+++ b/io/process/dfucontrol/controller_test.go
@@ -397,7 +397,7 @@
 }
 
 func numbered(s dfustore.Versioned) *dfustore.Numbered {
-	return dfustore.NewNumbered(s, dfustore.NumberedDeps{Clock: dfuclock.New(), Log: zap.NewNop()})
+	return dfustore.NewNumbered(s, dfustore.NumberedDeps{Clock: dfuclock.New(), Log: zap.NewNop(), Forget: func() {}})
 }
 
 // start runs the controller of node vm-i and returns it with a function that
--- a/io/process/dfucontrol/restored_store_test.go
+++ b/io/process/dfucontrol/restored_store_test.go
@@ -72,6 +72,7 @@
 // back to an older table, and no watch may be started again and again. Load: 16 nodes, a
 // change each 0.5 s.
 func TestChangesAfterTheStoreIsRestoredAreInTime(t *testing.T) {
+	t.Parallel()
 	for name, restoration := range restorations {
 		for _, c := range []struct{ outage, lag time.Duration }{
 			{0, 0},
@@ -169,6 +170,7 @@
 // The keys of evacuations come and go. A tombstone from before the store was restored must not hide
 // a key that is written again, nor a former key outlive its deletion. Load: 16 nodes, stale reads lag.
 func TestEvacuationsAfterTheStoreIsRestoredAreInTime(t *testing.T) {
+	t.Parallel()
 	const zone = "sued-a"
 	for name, restoration := range restorations {
 		for _, outage := range []time.Duration{0, time.Second} {
@@ -227,6 +229,7 @@
 // While nodes of an earlier version are replaced, only some notice that the store was restored. The
 // others must have the changes from these. Load: 16 nodes, of which every other one notices.
 func TestNodesThatDontNoticeARestorationHearFromOthers(t *testing.T) {
+	t.Parallel()
 	for name, restoration := range restorations {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -253,9 +256,9 @@
 	return s.ListStale(ctx, prefix)
 }
 
-// A list that lags must neither take a table back nor make the nodes assume one restoration after the
-// other. Load: 16 nodes, half of the answers of watches are lost, so that nodes list often.
+// A list that lags must neither take a table back nor count as one of a restored store. Load: 16 nodes, half of the answers of watches are lost, so that nodes list often.
 func TestListsThatLagTakeNothingBack(t *testing.T) {
+	t.Parallel()
 	for _, lag := range []time.Duration{time.Second, 6 * time.Second} {
 		t.Run(lag.String(), func(t *testing.T) {
 			t.Parallel()
@@ -274,9 +277,9 @@
 			stale.Store(int64(lag))
 			checkRoutesInTime(f, controllers, 1, 40)
 			for i, s := range eras {
-				t.Logf("vm-%d: era %d, %d restarts", i, s.Era(), controllers[i].Status().MissedAnswers)
-				if s.Era() > 1 {
-					t.Errorf("vm-%d assumes %d restorations within 20 s", i, s.Era())
+				t.Logf("vm-%d: %d restarts", i, controllers[i].Status().MissedAnswers)
+				if s.Era() > 0 {
+					t.Errorf("vm-%d assumes %d restorations", i, s.Era())
 				}
 			}
 		})
@@ -286,6 +289,7 @@
 // A node must not prove an older table than the store had acknowledged a while before, also while the
 // store is restored, and must prove the current one soon. Load: 16 nodes, a change each 0.5 s.
 func TestNoOlderTableIsProvenAfterTheStoreIsRestored(t *testing.T) {
+	t.Parallel()
 	const bound = 5 * time.Second
 	for name, restoration := range restorations {
 		for _, outage := range []time.Duration{0, time.Second} {
--- a/io/process/dfunode/node.go
+++ b/io/process/dfunode/node.go
@@ -139,7 +139,7 @@
 		Total: settings.Limits.BodiesBytes(), Answers: settings.Limits.LargeAnswersBytes(), LinkMbps: settings.Limits.LinkMbps,
 	}, n.clock, n.metrics)
 	n.store = adapters.Store(n.countStoreCall)
-	n.numbered = dfustore.NewNumbered(n.store, dfustore.NumberedDeps{Clock: n.clock, Log: n.log, NewEra: n.forgetRevisions})
+	n.numbered = dfustore.NewNumbered(n.store, dfustore.NumberedDeps{Clock: n.clock, Log: n.log, Forget: n.forgetRevisions})
 	if err := n.listen(ctx); err != nil {
 		return nil, err
 	}
--- a/io/process/dfustore/numbered.go
+++ b/io/process/dfustore/numbered.go
@@ -13,36 +13,24 @@
 )
 
 const (
-	// suspicionPeriod is how long linearizable answers must stay below a revision known before
-	// until the store counts as restored.
-	suspicionPeriod = 2 * dfuclock.Second
-	// suspicionPause is the minimum length of an era that ends after a suspicion only. Answers
-	// that stay behind for another reason must not end one era after the other.
-	suspicionPause = 30 * dfuclock.Second
 	// staleReadAge is how old a stale read may be. Until an era is that old, a stale read may
 	// return the content of the era before.
 	staleReadAge = 10 * dfuclock.Second
-	// verifyTimeout limits the read that verifies a suspicion.
-	verifyTimeout = 2 * dfuclock.Second
+	// verifyPause is the minimum time between two verifications, and verifyTimeout limits one.
+	verifyPause   = 2 * dfuclock.Second
+	verifyTimeout = 2 * time.Second
+	// maxVerifyWrites is the maximum number of writes of a verification. Other nodes may write
+	// at the same time.
+	maxVerifyWrites = 4
 )
 
-// Versioned is the part of a Store whose calls have revisions.
-type Versioned interface {
-	Get(ctx context.Context, key string) (Record, error)
-	List(ctx context.Context, prefix string) ([]Record, dfuident.Revision, error)
-	ListStale(ctx context.Context, prefix string) ([]Record, dfuident.Revision, error)
-	Ping(ctx context.Context, prefix string) ([]Record, dfuident.Revision, error)
-	Received() uint64
-	Watch(ctx context.Context, prefix string, after dfuident.Revision, wait dfuclock.Duration) ([]Record, dfuident.Revision, error)
-	CompareAndSwap(ctx context.Context, key string, expected dfuident.Revision, value []byte, lease LeaseID) (dfuident.Revision, error)
-}
-
 // Numbered is a client of a store whose revisions may become smaller, since it was restored
 // from an older copy or counts them anew. The revisions of a Numbered have an era and never
 // become smaller. An era begins when
 //
 //   - a caller of Restored has found answers that contradict each other,
-//   - linearizable answers stay below a revision that was known before they were requested, or
+//   - a linearizable read returns a smaller revision than was known before it was sent, and so does
+//     a write, which no replica that lags can answer, or
 //   - another node has begun one, see Observe.
 //
 // Nodes that find the same restoration begin the same era. A Numbered is safe for concurrent
@@ -57,10 +45,8 @@
 	began dfuclock.Time
 	// known is the greatest revision of the era that the store is known to have had.
 	known dfuident.Revision
-	// suspected is a revision below which an answer was, and suspectedAt the time at which that was
-	// requested; zero if there is none.
-	suspected   dfuident.Revision
-	suspectedAt dfuclock.Time
+	// nextVerifyAt is the earliest time of the next verification.
+	nextVerifyAt dfuclock.Time
 	// interrupted is done when the watches that wait must list again.
 	interrupted context.Context
 	interrupt   context.CancelFunc
@@ -70,8 +56,8 @@
 type NumberedDeps struct {
 	Clock dfuclock.Clock
 	Log   *zap.Logger
-	// NewEra is called when an era begins; it may be nil.
-	NewEra func()
+	// Forget makes the client accept revisions that are smaller than those of earlier answers.
+	Forget func()
 }
 
 // NewNumbered returns a Numbered on a client of the store.
@@ -114,11 +100,9 @@
 	n.deps.Log.Warn("the store was restored: its revisions have become smaller", zap.Uint32("era", uint32(era)),
 		zap.Uint64("known", uint64(n.known.InStore())), zap.String("reason", reason))
 	n.era, n.began = era, n.deps.Clock.Now()
-	n.known, n.suspected = 0, 0
+	n.known = 0
 	n.interruptWatches()
-	if n.deps.NewEra != nil {
-		n.deps.NewEra()
-	}
+	n.deps.Forget()
 }
 
 // interruptWatches ends the watches that wait. The caller must hold n.mu.
@@ -164,41 +148,60 @@
 	return s.era, nil
 }
 
-// checkLinearizable compares the revision of a linearizable answer with what was known when it was
-// requested. If it has been smaller for a while, the next era begins, and the answer is the first one
-// of it.
-func (n *Numbered) checkLinearizable(s sent, inStore dfuident.Revision) (dfuident.Era, error) {
+// suspect verifies that the store was restored, after a linearizable answer with a smaller revision
+// than was known when it was requested. The watches that wait may wait for a revision that is
+// far away, so that they have to list again.
+func (n *Numbered) suspect(s sent, inStore dfuident.Revision) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.era != s.era {
-		return 0, errors.Mark(errNewEra, ErrUnavailable)
+	if n.era != s.era || s.at.Before(n.nextVerifyAt) {
+		return
 	}
-	if inStore >= n.suspected.InStore() {
-		n.suspected = 0
+	n.deps.Log.Warn("the store returned a smaller revision than before", zap.Uint64("revision", uint64(inStore)),
+		zap.Uint64("known", uint64(s.known.InStore())), zap.Uint32("era", uint32(s.era)))
+	n.nextVerifyAt = s.at.Add(verifyPause)
+	n.interruptWatches()
+	go n.verify(s)
+}
+
+// verify writes to the store and begins an era if the revision of the write is not greater than
+// was known before.
+func (n *Numbered) verify(s sent) {
+	ctx, cancel := context.WithTimeout(context.Background(), verifyTimeout)
+	defer cancel()
+	n.deps.Forget()
+	written, err := n.writeProbe(ctx)
+	if err != nil {
+		n.deps.Log.Warn("the revision of the store was not verified", zap.Error(err))
+		return
 	}
-	switch {
-	case inStore >= s.known.InStore():
-	case n.suspected == 0:
-		n.suspect(s, inStore)
-	case s.at.Sub(n.suspectedAt) >= suspicionPeriod && (n.began == 0 || s.at.Sub(n.began) >= suspicionPause):
-		n.begin(n.era+1, "linearizable reads stay behind")
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.era == s.era && written <= s.known.InStore() {
+		n.begin(n.era+1, "a write has a smaller revision")
 	}
-	n.raise(n.era.Revision(inStore))
-	return n.era, nil
 }
 
-// suspect begins a suspicion. The watches that wait may wait for a revision that is far away, so
-// that they have to list again. The caller must hold n.mu.
-func (n *Numbered) suspect(s sent, inStore dfuident.Revision) {
-	n.deps.Log.Warn("the store returned a smaller revision than before", zap.Uint64("revision", uint64(inStore)),
-		zap.Uint64("known", uint64(s.known.InStore())), zap.Uint32("era", uint32(s.era)))
-	n.suspected, n.suspectedAt = s.known, s.at
-	n.interruptWatches()
-	time.AfterFunc(suspicionPeriod.Std(), func() {
-		ctx, cancel := context.WithTimeout(context.Background(), verifyTimeout.Std())
-		defer cancel()
-		_, _, _ = n.List(ctx, PingPrefix)
-	})
+// writeProbe writes the record of verifications and returns its revision, as the store has it.
+func (n *Numbered) writeProbe(ctx context.Context) (dfuident.Revision, error) {
+	current, err := n.store.Get(ctx, ProbeKey)
+	if err != nil {
+		return 0, err
+	}
+	for range maxVerifyWrites {
+		expected := current.Revision
+		if !current.Exists() {
+			expected = 0
+		}
+		var revision dfuident.Revision
+		revision, err = n.store.CompareAndSwap(ctx, ProbeKey, expected, []byte("{}"), 0)
+		var conflict *ConflictError
+		if !errors.As(err, &conflict) {
+			return revision, err
+		}
+		current = conflict.Current
+	}
+	return 0, err
 }
 
 // numberRecords sets the era of the records' revisions.
@@ -228,7 +231,10 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	era, err := n.checkLinearizable(s, inStore)
+	if inStore < s.known.InStore() {
+		n.suspect(s, inStore)
+	}
+	era, err := n.answered(s, inStore)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/io/process/dfustore/numbered_test.go
+++ b/io/process/dfustore/numbered_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"dragonflyusher/core/process/dfuclock"
 	"dragonflyusher/core/process/dfuident"
@@ -24,6 +25,9 @@
 	waiting chan struct{}
 	// expected is the expected revision of the last write.
 	expected dfuident.Revision
+	// beforeWrite is called before a write, and wrote is closed after it.
+	beforeWrite func()
+	wrote       chan struct{}
 }
 
 func (s *scriptedStore) answer() ([]dfustore.Record, dfuident.Revision, error) {
@@ -58,6 +62,10 @@
 
 func (s *scriptedStore) CompareAndSwap(_ context.Context, _ string, expected dfuident.Revision, _ []byte, _ dfustore.LeaseID) (dfuident.Revision, error) {
 	s.expected = expected
+	if s.beforeWrite != nil {
+		s.beforeWrite()
+		defer close(s.wrote)
+	}
 	return dfuident.Revision(s.revision.Add(1)), nil
 }
 
@@ -73,7 +81,7 @@
 	store.revision.Store(revision)
 	clock := new(manualClock)
 	clock.advance(dfuclock.Second)
-	return dfustore.NewNumbered(store, dfustore.NumberedDeps{Clock: clock, Log: zap.NewNop()}), store, clock
+	return dfustore.NewNumbered(store, dfustore.NumberedDeps{Clock: clock, Log: zap.NewNop(), Forget: func() {}}), store, clock
 }
 
 // A node that has not noticed that the store was restored learns it from another one, and its answers
@@ -150,29 +158,44 @@
 	is.True(errors.Is(err, dfustore.ErrCompacted))
 }
 
-// One linearizable read below a known revision may be late; the store counts as restored if they stay
-// below it.
-func TestReadsThatStayBehindBeginAnEra(t *testing.T) {
-	is := is.New(t)
-	ctx := context.Background()
-	n, store, clock := newNumbered(40)
-	list := func(inStore uint64, wait dfuclock.Duration) dfuident.Revision {
-		t.Helper()
-		clock.advance(wait)
-		store.revision.Store(inStore)
-		_, revision, err := n.List(ctx, "")
-		is.NoErr(err)
-		return revision
+// A read below a known revision may come from a replica that lags; a write can't. The store counts as
+// restored if the revision of a write isn't greater than the known one either.
+func TestWriteDecidesWhetherTheStoreWasRestored(t *testing.T) {
+	tests := []struct {
+		name string
+		// known is the revision before, listed that of the suspicious list, and current that of
+		// the store when the write arrives.
+		known, listed, current uint64
+		restored               bool
+	}{
+		{"a list that lags", 40, 38, 41, false},
+		{"a list that lags, no change since", 40, 38, 40, false},
+		{"restored", 40, 5, 5, true},
+		{"restored, and nearly as many changes since", 40, 5, 39, true},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			n, store, clock := newNumbered(c.known)
+			_, _, err := n.List(context.Background(), "")
+			is.NoErr(err)
+			store.wrote = make(chan struct{})
+			store.onList = func() { store.revision.Store(c.listed) }
+			store.beforeWrite = func() { store.revision.Store(c.current) }
+			clock.advance(dfuclock.Second)
+			_, revision, err := n.List(context.Background(), "")
+			is.NoErr(err)
+			is.Equal(revision, dfuident.Revision(c.listed))
+			<-store.wrote
+			for range 100 {
+				if n.Era() != 0 {
+					break
+				}
+				time.Sleep(time.Millisecond)
+			}
+			is.Equal(n.Era() == 1, c.restored)
+		})
 	}
-	list(40, 0)
-	is.Equal(list(38, dfuclock.Second), dfuident.Revision(38)) // suspected
-	is.Equal(list(39, dfuclock.Second), dfuident.Revision(39))
-	is.Equal(list(40, 2*dfuclock.Second), dfuident.Revision(40)) // it was late
-	is.Equal(list(5, dfuclock.Second), dfuident.Revision(5))     // suspected
-	is.Equal(list(6, 2*dfuclock.Second), dfuident.Era(1).Revision(6))
-	is.Equal(list(2, 5*dfuclock.Second), dfuident.Era(1).Revision(2))
-	is.Equal(list(3, 3*dfuclock.Second), dfuident.Era(1).Revision(3)) // too soon after the last era
-	is.Equal(list(4, 30*dfuclock.Second), dfuident.Era(2).Revision(4))
 }
 
 // A stale read may return the content from before the restoration, whose revisions would hide the
--- a/io/process/dfustore/record.go
+++ b/io/process/dfustore/record.go
@@ -22,6 +22,9 @@
 	ZonePrefix = "zone/"
 	// PingPrefix precedes no key. A read of it returns only the revision of the store.
 	PingPrefix = "ping/"
+	// ProbeKey is the key of a record that nodes write to learn the revision of the store from a
+	// write. Its value has no meaning.
+	ProbeKey = "probe"
 	// QuotaPrefix precedes the number of a shard of quotas in the key of its owner.
 	QuotaPrefix = "quota/"
 	// OperatorPrefix precedes the keys that only operators write: RoutesKey, that of the
--- a/io/process/dfustore/store.go
+++ b/io/process/dfustore/store.go
@@ -10,6 +10,22 @@
 // Store is a client of the platform's key-value service. It is safe for concurrent
 // use.
 type Store interface {
+	Versioned
+	// Delete removes a key if its revision is the expected one and returns the
+	// revision of the delete.
+	Delete(ctx context.Context, key string, expected dfuident.Revision) (dfuident.Revision, error)
+	// GrantLease creates a lease that expires if it is not kept alive for ttl.
+	GrantLease(ctx context.Context, ttl dfuclock.Duration) (LeaseID, error)
+	// KeepAlive restarts the time to live of the lease.
+	KeepAlive(ctx context.Context, lease LeaseID) error
+	// Revoke ends the lease immediately.
+	Revoke(ctx context.Context, lease LeaseID) error
+	// Close closes the idle connections.
+	Close()
+}
+
+// Versioned is the part of a Store that Numbered wraps: the calls with revisions that the nodes use.
+type Versioned interface {
 	// Get returns the record of a key, which has revision zero if the key does not
 	// exist.
 	Get(ctx context.Context, key string) (Record, error)
@@ -36,15 +52,4 @@
 	// returns the new revision. An expected revision of zero means that the key
 	// must not exist. With a lease, the key is deleted when the lease expires.
 	CompareAndSwap(ctx context.Context, key string, expected dfuident.Revision, value []byte, lease LeaseID) (dfuident.Revision, error)
-	// Delete removes a key if its revision is the expected one and returns the
-	// revision of the delete.
-	Delete(ctx context.Context, key string, expected dfuident.Revision) (dfuident.Revision, error)
-	// GrantLease creates a lease that expires if it is not kept alive for ttl.
-	GrantLease(ctx context.Context, ttl dfuclock.Duration) (LeaseID, error)
-	// KeepAlive restarts the time to live of the lease.
-	KeepAlive(ctx context.Context, lease LeaseID) error
-	// Revoke ends the lease immediately.
-	Revoke(ctx context.Context, lease LeaseID) error
-	// Close closes the idle connections.
-	Close()
 }
