--- a/io/process/dfustore/numbered.go
+++ b/io/process/dfustore/numbered.go
@@ -33,8 +33,8 @@
 //     a write, which no replica that lags can answer, or
 //   - another node has begun one, see Observe.
 //
-// Nodes that find the same restoration begin the same era. A Numbered is safe for concurrent
-// use.
+// Nodes that find the same restoration begin the same era. The era that a platform reports in its
+// answers is another one, see AnswerEra. A Numbered is safe for concurrent use.
 type Numbered struct {
 	store Versioned
 	deps  NumberedDeps
