io/process/dfustore: copy records before numbering them

A client of the store may return the records of one answer to several callers, as fakes of the tests do: the race detector found two callers that set the revisions of the same records (TestSuspendedNodeAsksAgain and four others under -race). The platform's client decodes each answer for one call, so that no node was affected.

--- a/io/process/dfustore/numbered.go
+++ b/io/process/dfustore/numbered.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -204,12 +205,13 @@
 	return 0, err
 }
 
-// numberRecords sets the era of the records' revisions.
+// numberRecords returns the records with revisions of an era.
 func numberRecords(era dfuident.Era, records []Record) []Record {
-	for i := range records {
-		records[i].Revision = era.Revision(records[i].Revision)
+	numbered := slices.Clone(records)
+	for i := range numbered {
+		numbered[i].Revision = era.Revision(numbered[i].Revision)
 	}
-	return records
+	return numbered
 }
 
 // Get is Store.Get.
