--- a/measure/dfufleet/fleet.go
+++ b/measure/dfufleet/fleet.go
@@ -338,7 +338,7 @@
 			f.views[n.Member.Node] = a.View
 		case dfuroster.ReadStore:
 			f.listStore(n)
-		case dfuroster.RegionStatusChanged, dfuroster.Superseded:
+		case dfuroster.RegionStatusChanged, dfuroster.StoreRestored, dfuroster.Superseded:
 		}
 	}
 }
